--- /dev/null
+++ b/cmd/loomkeel-standin/main.go
@@ -0,0 +1,98 @@
+// Command loomkeel-standin stands in for the platform and for upstreams, for
+// tests and the quick start.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	lcli "github.com/loomkeel/loomkeel/internal/cli"
+	"github.com/loomkeel/loomkeel/internal/platform"
+	"github.com/loomkeel/loomkeel/internal/process"
+	"github.com/loomkeel/loomkeel/internal/standin"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:    "loomkeel-standin",
+		Usage:   "stand in for the platform or for upstreams",
+		Version: process.Version,
+		Commands: []*cli.Command{
+			{
+				Name:  "platform",
+				Usage: "serve a key-value service and an instance list",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7000", Usage: "`ADDRESS`"},
+					&cli.StringFlag{Name: "instances", Usage: "JSON `FILE` with the instance list"},
+				},
+				Action: runPlatform,
+			},
+			{
+				Name:  "upstreams",
+				Usage: "serve all upstreams of an instance list",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "instances", Usage: "JSON `FILE` with the instance list", Required: true},
+					&cli.DurationFlag{Name: "work", Value: 5 * time.Millisecond, Usage: "how long a request takes"},
+				},
+				Action: runUpstreams,
+			},
+		},
+	}
+	lcli.Exit(cmd.Name, cmd.Run(context.Background(), os.Args))
+}
+
+func readInstances(file string) ([]platform.Instance, error) {
+	if file == "" {
+		return nil, nil
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var list []platform.Instance
+	return list, eris.Wrapf(json.Unmarshal(b, &list), "%s", file)
+}
+
+func runPlatform(ctx context.Context, c *cli.Command) error {
+	ctx, stop := process.Signals(ctx)
+	defer stop()
+	list, err := readInstances(c.String("instances"))
+	if err != nil {
+		return err
+	}
+	p := &standin.Platform{Store: standin.NewStore(), List: standin.NewList(list)}
+	srv, err := process.Listen(c.String("listen"), p.Handler())
+	if err != nil {
+		return err
+	}
+	go srv.Serve()
+	<-ctx.Done()
+	return nil
+}
+
+func runUpstreams(ctx context.Context, c *cli.Command) error {
+	ctx, stop := process.Signals(ctx)
+	defer stop()
+	list, err := readInstances(c.String("instances"))
+	if err != nil {
+		return err
+	}
+	for _, i := range list {
+		if i.Kind != platform.KindUpstream {
+			continue
+		}
+		u := standin.NewUpstream(i.ID, i.Slots, c.Duration("work"))
+		srv, err := process.Listen(i.Address, u.Handler())
+		if err != nil {
+			return err
+		}
+		go srv.Serve()
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/agent/directory.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"sync"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/platform"
+)
+
+// directory holds the newest list of upstreams. It is safe for concurrent use.
+type directory struct {
+	mu      sync.Mutex
+	list    model.Directory
+	changed chan struct{}
+}
+
+func newDirectory() *directory { return &directory{changed: make(chan struct{})} }
+
+// get returns the list and a channel that closes when there is a newer one.
+func (d *directory) get() (model.Directory, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list, d.changed
+}
+
+func (d *directory) version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list.Version
+}
+
+// set takes in a list if it is newer.
+func (d *directory) set(list model.Directory) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if list.Version <= d.list.Version {
+		return false
+	}
+	d.list = list
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return true
+}
+
+// fromPlatform returns the upstreams of the platform's list.
+func fromPlatform(l platform.List) model.Directory {
+	d := model.Directory{Version: l.Version}
+	for _, i := range l.Instances {
+		if i.Kind != platform.KindUpstream {
+			continue
+		}
+		d.Upstreams = append(d.Upstreams, model.Upstream{
+			ID:          i.ID,
+			Service:     i.Service,
+			Region:      i.Region,
+			Domain:      i.Domain,
+			Address:     i.Address,
+			Slots:       i.Slots,
+			Connections: i.Connections,
+			Leaving:     i.Leaving,
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/agent/dump.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"github.com/loomkeel/loomkeel/internal/fanout"
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+// Dump is everything that an agent decides by.
+type Dump struct {
+	Self      membership.Member   `json:"self"`
+	Revision  uint64              `json:"revision"`
+	Origin    string              `json:"origin"`
+	Plan      fanout.Plan         `json:"fanout"`
+	Members   []membership.Member `json:"members"`
+	Directory model.Directory     `json:"directory"`
+	Processes map[string]string   `json:"processes"`
+	Stats     map[string]int64    `json:"stats"`
+}
+
+// Dump returns the agent's state.
+func (a *Agent) Dump() Dump {
+	members, _ := a.table.All()
+	list, _ := a.directory.get()
+	origin, _ := a.origin.Load().(string)
+	return Dump{
+		Self:      a.table.Self(),
+		Revision:  a.log.Revision(),
+		Origin:    origin,
+		Plan:      a.plan(),
+		Members:   members,
+		Directory: list,
+		Processes: a.processStates(),
+		Stats:     a.Counters(),
+	}
+}
+
+func (a *Agent) processStates() map[string]string {
+	a.localMu.Lock()
+	defer a.localMu.Unlock()
+	out := make(map[string]string)
+	for name, p := range a.processes {
+		switch {
+		case p.following == 0:
+			out[name] = "down"
+		case p.leaving:
+			out[name] = "leaving"
+		default:
+			out[name] = "up"
+		}
+	}
+	return out
+}
+
+// Counters returns the agent's counters by name.
+func (a *Agent) Counters() map[string]int64 {
+	s := &a.stats
+	return map[string]int64{
+		"exchanges":        s.Exchanges.Load(),
+		"exchange_failed":  s.ExchangeFailed.Load(),
+		"pushes":           s.Pushes.Load(),
+		"push_failed":      s.PushFailed.Load(),
+		"records_applied":  s.RecordsApplied.Load(),
+		"records_refused":  s.RecordsRefused.Load(),
+		"store_failed":     s.StoreFailed.Load(),
+		"snapshots_served": s.SnapshotsServed.Load(),
+	}
+}
--- /dev/null
+++ b/internal/agent/node.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/rpc"
+	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+)
+
+// Names of the processes beside an agent.
+const (
+	ProcessEntry    = "entry"
+	ProcessDirector = "director"
+)
+
+// process is what the agent knows of a process beside it.
+type process struct {
+	// following counts its open streams.
+	following int
+	leaving   bool
+	inFlight  uint32
+}
+
+// viewEvery joins changes in a burst into one view.
+const viewEvery = 20 * time.Millisecond
+
+// HandleFollow sends the state and then every change of it, until ctx ends or
+// send fails. While a process follows, its address is announced to the peers.
+func (a *Agent) HandleFollow(ctx context.Context, req *pb.FollowRequest, send func(*pb.View) error) error {
+	a.follows(req.GetProcess(), 1)
+	defer a.follows(req.GetProcess(), -1)
+	var f follower
+	for {
+		newest, _, advanced := a.log.View()
+		list, listed := a.directory.get()
+		members, joined := a.table.All()
+		if err := f.send(a, newest, list, members, send); err != nil {
+			return err
+		}
+		select {
+		case <-advanced:
+		case <-listed:
+		case <-joined:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !pause(ctx, viewEvery) {
+			return ctx.Err()
+		}
+	}
+}
+
+// follower is what one stream has been sent.
+type follower struct {
+	started  bool
+	revision uint64
+	list     uint64
+}
+
+func (f *follower) send(a *Agent, newest uint64, list model.Directory, members []membership.Member, send func(*pb.View) error) error {
+	v := &pb.View{Revision: f.revision, Members: rpc.MembersToProto(members)}
+	records, whole := a.log.Since(f.revision, maxRecords)
+	if f.started && whole {
+		v.Records = rpc.RecordsToProto(records)
+		if n := len(records); n > 0 {
+			v.Revision = records[n-1].Revision
+		}
+	} else {
+		revision, err := a.sendSnapshot(send)
+		if err != nil {
+			return err
+		}
+		v.Revision = revision
+	}
+	if !f.started || list.Version > f.list {
+		v.Directory = rpc.DirectoryToProto(list)
+	}
+	f.started, f.revision, f.list = true, v.Revision, list.Version
+	if err := send(v); err != nil {
+		return err
+	}
+	if f.revision < newest {
+		return f.send(a, newest, list, members, send)
+	}
+	return nil
+}
+
+// sendSnapshot sends the state in parts and returns its revision.
+func (a *Agent) sendSnapshot(send func(*pb.View) error) (uint64, error) {
+	s := a.log.Snapshot()
+	for i, p := range s.Parts() {
+		p.Changes = nil
+		if err := send(&pb.View{Snapshot: p, First: i == 0, More: true, Revision: s.Revision}); err != nil {
+			return 0, err
+		}
+	}
+	return s.Revision, nil
+}
+
+// follows counts a stream and announces whether the process can be used.
+func (a *Agent) follows(name string, by int) {
+	a.localMu.Lock()
+	p := a.process(name)
+	p.following += by
+	if by > 0 {
+		p.leaving = false
+	}
+	a.localMu.Unlock()
+	a.announceProcesses()
+}
+
+// process returns the state of a process. The caller holds localMu.
+func (a *Agent) process(name string) *process {
+	p := a.processes[name]
+	if p == nil {
+		p = new(process)
+		a.processes[name] = p
+	}
+	return p
+}
+
+// HandleReport takes in how a process beside the agent fares.
+func (a *Agent) HandleReport(req *pb.ReportRequest) *pb.ReportReply {
+	a.localMu.Lock()
+	p := a.process(req.GetProcess())
+	p.leaving, p.inFlight = req.GetLeaving(), req.GetInFlight()
+	a.localMu.Unlock()
+	a.announceProcesses()
+	return &pb.ReportReply{Revision: a.log.Revision()}
+}
+
+// announceProcesses tells the peers which processes can be used, if that has
+// changed.
+func (a *Agent) announceProcesses() {
+	a.localMu.Lock()
+	entry, director := a.address(ProcessEntry, a.opt.Self.Entry), a.address(ProcessDirector, a.opt.Self.Director)
+	before := a.table.Self()
+	a.table.Announce(time.Now(), func(m *membership.Member) { m.Entry, m.Director = entry, director })
+	a.localMu.Unlock()
+	if after := a.table.Self(); after.Incarnation != before.Incarnation {
+		klog.InfoS("processes changed", "entry", entry, "director", director)
+		go a.announce(context.Background())
+	}
+}
+
+// address returns the address of a process if it can be used.
+func (a *Agent) address(name, addr string) string {
+	if p := a.processes[name]; p != nil && p.following > 0 && !p.leaving {
+		return addr
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/balance/budget.go
@@ -0,0 +1,34 @@
+package balance
+
+import "sync"
+
+// budgetBurst is how many retries may be made before any success.
+const budgetBurst = 10
+
+// Budget limits retries to a share of recent successes, so that a region that
+// fails does not double its own load. It is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+// NewBudget returns a full Budget.
+func NewBudget() *Budget { return &Budget{tokens: budgetBurst} }
+
+// Succeeded adds the share of a retry that one success earns.
+func (b *Budget) Succeeded(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(budgetBurst, b.tokens+share)
+}
+
+// Take reports whether one more retry may be made, and counts it.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/balance/group.go
@@ -0,0 +1,398 @@
+// Package balance decides which upstream carries a request.
+//
+// A Group holds what one entry knows of the upstreams of one service: its own
+// requests in flight, the load that the upstreams report, their failures. It
+// does no I/O; time and randomness are passed in.
+package balance
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+const (
+	// reportDecay is the time constant by which a load report loses its weight.
+	reportDecay = 2 * time.Second
+	// ejectAfter is how many failures in a row eject an upstream.
+	ejectAfter = 3
+	// ejectFirst and ejectLongest bound how long an ejection lasts; it doubles
+	// each time.
+	ejectFirst   = time.Second
+	ejectLongest = 30 * time.Second
+	// maxEjected is the share of a region's upstreams that may be ejected. When
+	// most look bad, the measurement is more likely wrong than the upstreams.
+	maxEjected = 0.5
+	// latencyWeight is the weight of a new sample in the mean latency.
+	latencyWeight = 0.1
+	// drainingFor is how long an upstream's own word that it drains is believed.
+	drainingFor = 30 * time.Second
+)
+
+// Errors of Pick.
+var (
+	// ErrNoSlot reports that every allowed upstream is full.
+	ErrNoSlot = errors.New("balance: no free slot")
+	// ErrNoUpstream reports that no upstream may be used at all.
+	ErrNoUpstream = errors.New("balance: no upstream")
+)
+
+// member is the state of one upstream. The Group's lock guards it.
+type member struct {
+	model.Upstream
+	inFlight int
+	// others is the load by other entries at the last report, and reported when
+	// that was.
+	others   float64
+	reported time.Time
+	latency  time.Duration
+	failures int
+	// ejections counts ejections without a success between them.
+	ejections    int
+	ejectedUntil time.Time
+	drainUntil   time.Time
+	// coldSince is when the upstream appeared; zero for one that was there first.
+	coldSince time.Time
+	gone      bool
+}
+
+// Group balances one service. It is safe for concurrent use.
+type Group struct {
+	mu       sync.Mutex
+	warmup   time.Duration
+	byID     map[string]*member
+	regions  map[string][]*member
+	draining func(u *model.Upstream, now time.Time) bool
+	// meanOthers is the mean of others over slots, for upstreams without a
+	// fresh report.
+	meanOthers float64
+	// inFlight counts the own requests per region.
+	inFlight map[string]int
+}
+
+// NewGroup returns an empty Group.
+func NewGroup() *Group {
+	return &Group{byID: make(map[string]*member), inFlight: make(map[string]int)}
+}
+
+// Update takes in a new snapshot of the service. Upstreams that were not in the
+// one before are cold, unless it is the first.
+func (g *Group) Update(svc *model.Service, draining func(*model.Upstream, time.Time) bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := len(g.byID) == 0
+	g.warmup, g.draining = svc.Warmup, draining
+	g.regions = make(map[string][]*member)
+	seen := make(map[string]bool)
+	for _, u := range svc.Upstreams {
+		seen[u.ID] = true
+		m := g.byID[u.ID]
+		if m == nil {
+			m = &member{}
+			if !first {
+				m.coldSince = now
+			}
+			g.byID[u.ID] = m
+		}
+		m.Upstream, m.gone = u, false
+		g.regions[u.Region] = append(g.regions[u.Region], m)
+	}
+	for id, m := range g.byID {
+		if !seen[id] {
+			m.gone = true
+			g.forget(id, m)
+		}
+	}
+}
+
+// forget drops an upstream that is gone once its last request has ended.
+func (g *Group) forget(id string, m *member) {
+	if m.gone && m.inFlight == 0 {
+		delete(g.byID, id)
+	}
+}
+
+// Request says what a pick has to obey.
+type Request struct {
+	// Regions are tried in order; the first is the own one.
+	Regions []string
+	// Allowed reports whether one more request may go to a region where inFlight
+	// of this entry are now; nil allows all. It is called with the Group locked.
+	Allowed func(region string, inFlight int) bool
+	// Tried holds the ids of upstreams that must not be picked again.
+	Tried []string
+}
+
+// Choice is a picked upstream. Every Choice must be given to Done once.
+type Choice struct {
+	model.Upstream
+	Picked time.Time
+}
+
+// Pick chooses an upstream and takes one of its slots.
+func (g *Group) Pick(now time.Time, rnd *rand.Rand, req Request) (Choice, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usable := false
+	for _, region := range req.Regions {
+		candidates := g.candidates(region, req.Tried, now)
+		usable = usable || len(candidates) > 0
+		if len(candidates) == 0 || req.Allowed != nil && !req.Allowed(region, g.inFlight[region]) {
+			continue
+		}
+		if m := g.choose(candidates, now, rnd); m != nil {
+			m.inFlight++
+			g.inFlight[region]++
+			return Choice{m.Upstream, now}, nil
+		}
+	}
+	if usable {
+		return Choice{}, ErrNoSlot
+	}
+	return Choice{}, ErrNoUpstream
+}
+
+// candidates returns the upstreams of a region that may get work.
+func (g *Group) candidates(region string, tried []string, now time.Time) []*member {
+	all := g.regions[region]
+	out := make([]*member, 0, len(all))
+	for _, m := range all {
+		if !m.ejected(now) && !contains(tried, m.ID) && !g.leaves(m, now) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (g *Group) leaves(m *member, now time.Time) bool {
+	return now.Before(m.drainUntil) || g.draining(&m.Upstream, now)
+}
+
+func contains(ids []string, id string) bool {
+	for _, i := range ids {
+		if i == id {
+			return true
+		}
+	}
+	return false
+}
+
+// choose takes the less loaded of two random upstreams, or the least loaded of
+// all if both are full; nil if all are.
+func (g *Group) choose(ms []*member, now time.Time, rnd *rand.Rand) *member {
+	a, b := ms[rnd.IntN(len(ms))], ms[rnd.IntN(len(ms))]
+	if g.load(b, now) < g.load(a, now) {
+		a = b
+	}
+	if g.hasSlot(a, now) {
+		return a
+	}
+	var best *member
+	for _, m := range ms {
+		if g.hasSlot(m, now) && (best == nil || g.load(m, now) < g.load(best, now)) {
+			best = m
+		}
+	}
+	return best
+}
+
+// estimate is the number of requests at an upstream: the own ones, and those of
+// other entries as last reported, which give way to the mean as they age.
+func (g *Group) estimate(m *member, now time.Time) float64 {
+	w := 0.0
+	if !m.reported.IsZero() {
+		w = math.Exp(-float64(now.Sub(m.reported)) / float64(reportDecay))
+	}
+	others := w*m.others + (1-w)*g.meanOthers*float64(m.Slots)
+	return float64(m.inFlight) + others
+}
+
+// load is the estimate as a share of the slots that may be used. Failures in a
+// row count as load, so that one that claims to be idle while requests fail is
+// passed over.
+func (g *Group) load(m *member, now time.Time) float64 {
+	return (g.estimate(m, now) + float64(m.failures)) / g.slots(m, now)
+}
+
+func (g *Group) hasSlot(m *member, now time.Time) bool {
+	return g.estimate(m, now)+1 <= g.slots(m, now)+0.5
+}
+
+// slots is how many requests an upstream may have now: fewer while it is cold,
+// at least one.
+func (g *Group) slots(m *member, now time.Time) float64 {
+	full := float64(max(m.Slots, 1))
+	if m.coldSince.IsZero() || g.warmup <= 0 {
+		return full
+	}
+	warm := float64(now.Sub(m.coldSince)) / float64(g.warmup)
+	return max(1, full*min(warm, 1))
+}
+
+func (m *member) ejected(now time.Time) bool { return now.Before(m.ejectedUntil) }
+
+// Result is how a request at an upstream ended.
+type Result uint8
+
+// The results.
+const (
+	// OK means an answer came.
+	OK Result = iota
+	// Shed means the upstream refused for load; it is healthy, but full.
+	Shed
+	// Failed means no answer came, or a broken one.
+	Failed
+	// Abandoned means the caller went away or ran out of time with no fault of
+	// the upstream to be seen.
+	Abandoned
+)
+
+// Report is what one request told of its upstream.
+type Report struct {
+	Result Result
+	// Load is the requests in flight that the upstream reported, or -1.
+	Load int
+	// Draining is set if the upstream said that it drains.
+	Draining bool
+}
+
+// Done ends a Choice and frees its slot.
+func (g *Group) Done(now time.Time, c Choice, r Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.byID[c.ID]
+	if m == nil {
+		return
+	}
+	if r.Load >= 0 {
+		m.others = float64(max(0, r.Load-m.inFlight))
+		m.reported = now
+	}
+	m.inFlight--
+	g.inFlight[c.Region]--
+	if r.Draining {
+		m.drainUntil = now.Add(drainingFor)
+	}
+	g.judge(m, now, now.Sub(c.Picked), r.Result)
+	g.updateMean(now)
+	g.forget(c.ID, m)
+}
+
+func (g *Group) judge(m *member, now time.Time, took time.Duration, r Result) {
+	switch r {
+	case OK:
+		m.failures, m.ejections = 0, 0
+		if m.latency == 0 {
+			m.latency = took
+		}
+		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
+	case Shed:
+		m.others = max(m.others, float64(m.Slots-m.inFlight))
+		m.reported = now
+	case Failed:
+		m.failures++
+		if m.failures >= ejectAfter {
+			g.eject(m, now)
+		}
+	}
+}
+
+// eject takes an upstream out for a while, unless too many of its region are
+// out already.
+func (g *Group) eject(m *member, now time.Time) {
+	out := 0
+	peers := g.regions[m.Region]
+	for _, p := range peers {
+		if p != m && p.ejected(now) {
+			out++
+		}
+	}
+	if float64(out+1) > maxEjected*float64(len(peers)) {
+		return
+	}
+	d := min(ejectFirst<<min(m.ejections, 10), ejectLongest)
+	m.ejections++
+	m.failures = 0
+	m.ejectedUntil = now.Add(d)
+}
+
+// updateMean keeps the mean load by others from the fresh reports.
+func (g *Group) updateMean(now time.Time) {
+	var others, slots float64
+	for _, m := range g.byID {
+		if !m.reported.IsZero() && now.Sub(m.reported) < reportDecay {
+			others += m.others
+			slots += float64(max(m.Slots, 1))
+		}
+	}
+	g.meanOthers = 0
+	if slots > 0 {
+		g.meanOthers = others / slots
+	}
+}
+
+// Latency returns the mean latency over the upstreams of a region that have
+// answered, or 0.
+func (g *Group) Latency(region string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var sum time.Duration
+	n := 0
+	for _, m := range g.regions[region] {
+		if m.latency > 0 {
+			sum += m.latency
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+// Seen returns when an upstream of a region last reported its load, or the zero
+// time.
+func (g *Group) Seen(region string) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var last time.Time
+	for _, m := range g.regions[region] {
+		if m.reported.After(last) {
+			last = m.reported
+		}
+	}
+	return last
+}
+
+// InFlight returns the own requests in flight at a region's upstreams.
+func (g *Group) InFlight(region string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight[region]
+}
+
+// Status is the state of one upstream, for dumps.
+type Status struct {
+	model.Upstream
+	InFlight int           `json:"in_flight"`
+	Estimate float64       `json:"estimate"`
+	Latency  time.Duration `json:"latency_ns"`
+	Failures int           `json:"failures"`
+	Ejected  bool          `json:"ejected"`
+	Draining bool          `json:"draining"`
+}
+
+// Dump returns the state of all upstreams.
+func (g *Group) Dump(now time.Time) []Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Status
+	for _, m := range g.byID {
+		out = append(out, Status{m.Upstream, m.inFlight, g.estimate(m, now), m.latency, m.failures, m.ejected(now), g.leaves(m, now)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,67 @@
+// Package cli holds the command line that loomkeel's daemons share.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/loomkeel/loomkeel/internal/process"
+	"github.com/loomkeel/loomkeel/internal/settings"
+)
+
+// Daemon is a process that runs by a settings file.
+type Daemon struct {
+	Name  string
+	Usage string
+	// Run works until ctx ends.
+	Run func(ctx context.Context, s *settings.Settings) error
+}
+
+// Main runs a daemon's command line and ends the process.
+func Main(d Daemon) {
+	cmd := &cli.Command{
+		Name:                  d.Name,
+		Usage:                 d.Usage,
+		Version:               process.Version,
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Aliases: []string{"s"}, Value: "/etc/loomkeel/loomkeel.ini", Usage: "settings `FILE` of the instance",
+		}},
+		Description: fmt.Sprintf("Example:\n   %s --settings /etc/loomkeel/loomkeel.ini\n   %s check --settings /etc/loomkeel/loomkeel.ini", d.Name, d.Name),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := settings.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			process.InitLog(s.Log.Verbosity)
+			ctx, stop := process.Signals(ctx)
+			defer stop()
+			return d.Run(ctx, s)
+		},
+		Commands: []*cli.Command{{
+			Name:  "check",
+			Usage: "read the settings, print all faults, and exit with 1 if there are any",
+			Action: func(_ context.Context, c *cli.Command) error {
+				if _, err := settings.Load(c.String("settings")); err != nil {
+					return err
+				}
+				fmt.Println("settings are valid")
+				return nil
+			},
+		}},
+	}
+	Exit(d.Name, cmd.Run(context.Background(), os.Args))
+}
+
+// Exit ends the process, with a message and status 1 if err is not nil.
+func Exit(name string, err error) {
+	if err == nil {
+		os.Exit(0)
+	}
+	fmt.Fprintf(os.Stderr, "%s: %s\n", name, eris.ToString(err, false))
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,129 @@
+// Package ctl is the operators' command line.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/command"
+	"github.com/loomkeel/loomkeel/internal/configlog"
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/query"
+)
+
+// callTimeout bounds one call; an agent answers a change within its
+// commit_timeout.
+const callTimeout = 70 * time.Second
+
+// Client talks to an agent's operator address.
+type Client struct {
+	base  string
+	token string
+	http  http.Client
+}
+
+// NewClient returns a client of the agent at an address, with the token in a
+// file, if one is named.
+func NewClient(addr, tokenFile string) (*Client, error) {
+	c := &Client{base: "http://" + addr, http: http.Client{Timeout: callTimeout}}
+	if tokenFile == "" {
+		return c, nil
+	}
+	b, err := os.ReadFile(tokenFile)
+	if err != nil {
+		return nil, err
+	}
+	c.token = strings.TrimSpace(string(b))
+	return c, nil
+}
+
+// Change sends a change. An error means that its outcome is unknown.
+func (c *Client) Change(ctx context.Context, ch command.Change) (command.Result, error) {
+	body, err := json.Marshal(ch)
+	if err != nil {
+		return command.Result{}, err
+	}
+	var res command.Result
+	err = c.call(ctx, http.MethodPost, "/v1/changes", body, &res)
+	return res, err
+}
+
+// Tree reads the settings at a path, or all of them for "".
+func (c *Client) Tree(ctx context.Context, path string) (query.Tree, error) {
+	var t query.Tree
+	err := c.call(ctx, http.MethodGet, "/v1/tree?path="+url.QueryEscape(path), nil, &t)
+	return t, err
+}
+
+// Value reads one effective value.
+func (c *Client) Value(ctx context.Context, path, key string) (query.Value, error) {
+	var v query.Value
+	q := url.Values{"path": {path}, "key": {key}}
+	err := c.call(ctx, http.MethodGet, "/v1/value?"+q.Encode(), nil, &v)
+	return v, err
+}
+
+// History reads the newest changes.
+func (c *Client) History(ctx context.Context, limit int) ([]query.Change, error) {
+	var h []query.Change
+	err := c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/history?limit=%d", limit), nil, &h)
+	return h, err
+}
+
+// Members reads the instances.
+func (c *Client) Members(ctx context.Context) ([]membership.Member, error) {
+	var ms []membership.Member
+	err := c.call(ctx, http.MethodGet, "/v1/members", nil, &ms)
+	return ms, err
+}
+
+// Dump reads the state of all processes of the agent's instance.
+func (c *Client) Dump(ctx context.Context) (map[string]json.RawMessage, error) {
+	var d map[string]json.RawMessage
+	err := c.call(ctx, http.MethodGet, "/v1/dump", nil, &d)
+	return d, err
+}
+
+// Outcome asks what became of a change id.
+func (c *Client) Outcome(ctx context.Context, id string) (command.Result, error) {
+	var r command.Result
+	err := c.call(ctx, http.MethodGet, "/v1/changes/"+url.PathEscape(id), nil, &r)
+	return r, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusBadRequest && method == http.MethodGet {
+		return fmt.Errorf("agent: %s", strings.TrimSpace(string(b)))
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return fmt.Errorf("agent: %s: %w", resp.Status, err)
+	}
+	return nil
+}
+
+// accepted reports whether a result is an acceptance.
+func accepted(r command.Result) bool { return r.Outcome == configlog.Accepted }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,151 @@
+// Package entry is the process that carries callers' requests: a
+// forward.Carrier with metrics, and the steps of a planned stop.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/follow"
+	"github.com/loomkeel/loomkeel/internal/forward"
+	"github.com/loomkeel/loomkeel/internal/metrics"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/verdict"
+)
+
+// Entry carries requests and counts how they end.
+type Entry struct {
+	Carrier *forward.Carrier
+	mu      sync.Mutex
+	byEnd   map[end]int64
+	latency map[string]*metrics.Latency
+}
+
+// end is a way for a request to end.
+type end struct {
+	service string
+	verdict verdict.Verdict
+	reason  string
+}
+
+// New returns an Entry. Options.Observe and NewID are set by it.
+func New(opt forward.Options) *Entry {
+	e := &Entry{byEnd: make(map[end]int64), latency: make(map[string]*metrics.Latency)}
+	opt.Observe, opt.NewID = e.observe, newID
+	e.Carrier = forward.New(opt)
+	return e
+}
+
+// newID returns a random request id.
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func (e *Entry) observe(o forward.Outcome) {
+	e.mu.Lock()
+	e.byEnd[end{o.Service, o.Verdict, o.Reason}]++
+	l := e.latency[o.Service]
+	if l == nil {
+		l = metrics.NewLatency()
+		e.latency[o.Service] = l
+	}
+	e.mu.Unlock()
+	l.Record(uint32(o.Took), o.Took)
+	klog.V(2).InfoS("request", "id", o.ID, "service", o.Service, "upstream", o.Upstream, "status", o.Status,
+		"verdict", o.Verdict, "reason", o.Reason, "took", o.Took, "attempts", o.Attempts)
+}
+
+// Metrics returns the counters and percentiles of each service.
+func (e *Entry) Metrics() map[string]ServiceMetrics {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]ServiceMetrics)
+	for service, l := range e.latency {
+		out[service] = ServiceMetrics{Latency: l.Summary(), Ends: make(map[string]int64)}
+	}
+	for k, n := range e.byEnd {
+		name := k.verdict.String()
+		if k.reason != "" {
+			name += " " + k.reason
+		}
+		out[k.service].Ends[name] += n
+	}
+	return out
+}
+
+// ServiceMetrics are the metrics of one service.
+type ServiceMetrics struct {
+	Latency metrics.Summary  `json:"latency"`
+	Ends    map[string]int64 `json:"ends"`
+}
+
+// Dump is everything that the entry decides by.
+type Dump struct {
+	Agent    follow.Status                    `json:"agent"`
+	Revision uint64                           `json:"revision"`
+	InFlight int                              `json:"in_flight"`
+	Services map[string]forward.ServiceStatus `json:"services"`
+	Metrics  map[string]ServiceMetrics        `json:"metrics"`
+}
+
+// Dump returns the entry's state.
+func (e *Entry) Dump(agent follow.Status) Dump {
+	return Dump{agent, revisionOf(e.Carrier.Snapshot()), e.Carrier.InFlight(), e.Carrier.Dump(), e.Metrics()}
+}
+
+func revisionOf(s *model.Snapshot) uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Revision
+}
+
+// Shutdowner is the server that a Stop ends.
+type Shutdowner interface {
+	Shutdown(ctx context.Context) error
+}
+
+// StopOptions sets the times of a planned stop.
+type StopOptions struct {
+	// Linger is how long requests are still taken after the look-ups have ceased
+	// to name the entry.
+	Linger time.Duration
+	// Timeout is how long requests in flight may take after that.
+	Timeout time.Duration
+	// Leave tells the agent that the entry leaves.
+	Leave func(ctx context.Context) error
+}
+
+// Stop is the planned stop: the entry leaves the look-up answers, waits out
+// those already given, refuses new work as not run, and ends when the last
+// request in flight has.
+func (e *Entry) Stop(ctx context.Context, srv Shutdowner, opt StopOptions) error {
+	klog.InfoS("stopping", "linger", opt.Linger)
+	if err := opt.Leave(ctx); err != nil {
+		klog.ErrorS(err, "agent not told of the stop")
+	}
+	select {
+	case <-time.After(opt.Linger):
+	case <-ctx.Done():
+	}
+	e.Carrier.Stop()
+	ctx, cancel := context.WithTimeout(ctx, opt.Timeout)
+	defer cancel()
+	err := srv.Shutdown(ctx)
+	klog.InfoS("stopped", "in_flight", e.Carrier.InFlight(), "err", err)
+	return err
+}
+
+// Handler returns the interface to callers with a bound on request bodies in
+// bytes.
+func (e *Entry) Handler(maxBody int64) http.Handler {
+	return http.MaxBytesHandler(e.Carrier, maxBody)
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,159 @@
+// Package follow keeps the director and the entry supplied with the state of
+// the agent beside them.
+//
+// When the agent is away, the process goes on with its last snapshot and says
+// so in its dump and metrics.
+package follow
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/configlog"
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/rpc"
+	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+)
+
+const (
+	// retryEvery is the pause before an agent that is away is called again.
+	retryEvery = 200 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = time.Second
+)
+
+// Follower receives an agent's state.
+type Follower struct {
+	dialer  *rpc.Dialer
+	agent   string
+	process string
+	region  string
+	update  func(*model.Snapshot)
+
+	log       *configlog.Log
+	parts     []*pb.SnapshotPart
+	directory model.Directory
+	members   []membership.Member
+	connected atomic.Bool
+	updates   atomic.Int64
+	lastView  atomic.Int64
+}
+
+// New returns a Follower of the agent at an address, for a process of a region.
+// It calls update with each new snapshot, one call at a time.
+func New(dialer *rpc.Dialer, agent, process, region string, update func(*model.Snapshot)) *Follower {
+	return &Follower{dialer: dialer, agent: agent, process: process, region: region, update: update, log: configlog.NewLog()}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.follow(ctx)
+		if f.connected.Swap(false) {
+			klog.InfoS("agent lost, going on with the last state", "agent", f.agent, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryEvery):
+		}
+	}
+}
+
+func (f *Follower) follow(ctx context.Context) error {
+	conn := f.dialer.Conn(f.agent)
+	defer conn.Close()
+	stream, err := pb.NewDRPCNodeClient(conn).Follow(ctx, &pb.FollowRequest{Process: f.process})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		v, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		f.connected.Store(true)
+		f.take(v)
+	}
+}
+
+// take applies a view. A revision older than the own never replaces it.
+func (f *Follower) take(v *pb.View) {
+	if v.GetSnapshot() != nil {
+		if v.GetFirst() {
+			f.parts = nil
+		}
+		f.parts = append(f.parts, v.GetSnapshot())
+	}
+	if v.GetMore() {
+		return
+	}
+	f.restore()
+	records, err := rpc.RecordsFromProto(v.GetRecords())
+	if err != nil {
+		klog.ErrorS(err, "record refused", "from", f.agent)
+	}
+	if _, err := f.log.Append(records...); err != nil {
+		klog.ErrorS(err, "records do not follow", "from", f.agent)
+	}
+	if d := v.GetDirectory(); d != nil && d.GetVersion() >= f.directory.Version {
+		f.directory = rpc.DirectoryFromProto(d)
+	}
+	f.members = rpc.MembersFromProto(v.GetMembers())
+	f.publish()
+}
+
+func (f *Follower) restore() {
+	if len(f.parts) == 0 {
+		return
+	}
+	s, err := configlog.FromParts(f.parts)
+	f.parts = nil
+	if err != nil {
+		klog.ErrorS(err, "snapshot refused", "from", f.agent)
+		return
+	}
+	f.log.Restore(s)
+}
+
+func (f *Follower) publish() {
+	revision, t, _ := f.log.View()
+	f.update(model.Compile(model.Input{
+		Region:    f.region,
+		Revision:  revision,
+		Tree:      t,
+		Directory: f.directory,
+		Members:   f.members,
+	}))
+	f.updates.Add(1)
+	f.lastView.Store(time.Now().UnixMilli())
+}
+
+// Report tells the agent how the process fares.
+func (f *Follower) Report(ctx context.Context, leaving bool, inFlight int) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	conn := f.dialer.Conn(f.agent)
+	defer conn.Close()
+	req := &pb.ReportRequest{Process: f.process, Leaving: leaving, InFlight: uint32(inFlight)}
+	_, err := pb.NewDRPCNodeClient(conn).Report(ctx, req)
+	return err
+}
+
+// Status is the state of the connection to the agent.
+type Status struct {
+	Agent     string `json:"agent"`
+	Connected bool   `json:"connected"`
+	Updates   int64  `json:"updates"`
+	// LastUpdate is when the last snapshot came, in Unix milliseconds.
+	LastUpdate int64 `json:"last_update_unix_ms"`
+}
+
+// Status returns the state of the connection.
+func (f *Follower) Status() Status {
+	return Status{f.agent, f.connected.Load(), f.updates.Load(), f.lastView.Load()}
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,201 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/verdict"
+)
+
+// Reasons of failed attempts.
+const (
+	reasonTimeout     = "timeout"
+	reasonCallerGone  = "caller-gone"
+	reasonUnreachable = "upstream-unreachable"
+	reasonBroken      = "upstream-broken"
+	reasonShed        = "upstream-shed"
+	reasonMismatch    = "answer-mismatch"
+	reasonUnframed    = "answer-unframed"
+	reasonBodyUsed    = "body-not-repeatable"
+)
+
+// wholeLimit is the largest answer in bytes that is read whole before the first
+// byte goes to the caller, so that a cut one can still be tried elsewhere.
+const wholeLimit = 64 << 10
+
+// answer is an upstream's answer, ready to go to the caller.
+type answer struct {
+	resp *http.Response
+	// whole is the body if it has been read to its end.
+	whole []byte
+	read  bool
+}
+
+// attempt sends the call to one upstream. The error, if any, has the verdict of
+// this attempt alone.
+func (c *Carrier) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*answer, *verdict.Error) {
+	body, ok := cl.body.attach()
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, reasonBodyUsed, nil)
+	}
+	var watch sendWatch
+	out := c.request(watch.context(ctx), r, cl, to, body)
+	resp, err := c.transport.RoundTrip(out)
+	if err != nil {
+		return nil, sendError(ctx, &watch, err)
+	}
+	if cl.notRunStatus(resp.StatusCode) {
+		e := verdict.New(verdict.NotRun, reasonShed, fmt.Errorf("upstream answered %s", resp.Status))
+		e.RetryAfter = retryAfterOf(resp)
+		discard(resp)
+		return nil, e
+	}
+	return readAnswer(ctx, cl, resp)
+}
+
+// request returns what goes to the upstream.
+func (c *Carrier) request(ctx context.Context, r *http.Request, cl *call, to balance.Choice, body *attemptBody) *http.Request {
+	h := r.Header.Clone()
+	dropHop(h)
+	dropOwn(h)
+	h.Set(HeaderRequestID, cl.id)
+	h.Set(HeaderDeadline, strconv.FormatInt(max(1, cl.deadline.Sub(c.now()).Milliseconds()), 10))
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "")
+	}
+	out := &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Scheme: c.scheme, Host: to.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		Host:          r.Host,
+		Header:        h,
+		Body:          body,
+		ContentLength: cl.body.length,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	return out.WithContext(ctx)
+}
+
+// sendError gives the verdict of an attempt that got no answer.
+func sendError(ctx context.Context, watch *sendWatch, err error) *verdict.Error {
+	v := verdict.MayHaveRun
+	if watch.nothingSent() {
+		v = verdict.NotRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.New(v, reasonTimeout, err)
+	case ctx.Err() != nil:
+		return verdict.New(v, reasonCallerGone, err)
+	case v == verdict.NotRun:
+		return verdict.New(v, reasonUnreachable, err)
+	}
+	return verdict.New(v, reasonBroken, err)
+}
+
+// readAnswer checks an answer and reads it whole if it is small.
+func readAnswer(ctx context.Context, cl *call, resp *http.Response) (*answer, *verdict.Error) {
+	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != cl.id {
+		discard(resp)
+		return nil, verdict.New(verdict.MayHaveRun, reasonMismatch, fmt.Errorf("answer to request %q", echo))
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead {
+		// Such a body ends with the connection; nobody could tell it from a cut one.
+		discard(resp)
+		return nil, verdict.New(verdict.MayHaveRun, reasonUnframed, nil)
+	}
+	a := &answer{resp: resp}
+	if resp.ContentLength < 0 || resp.ContentLength > wholeLimit {
+		return a, nil
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if err != nil {
+		reason := reasonBroken
+		if ctx.Err() != nil {
+			reason = reasonTimeout
+		}
+		return nil, verdict.New(verdict.MayHaveRun, reason, err)
+	}
+	a.whole, a.read = body, true
+	return a, nil
+}
+
+// discard drops an answer. A short rest is read so that the connection can be
+// used again.
+func discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, 4<<10)
+	resp.Body.Close()
+}
+
+func retryAfterOf(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+// reportOf returns what an answer tells of its upstream's load.
+func reportOf(resp *http.Response) (load int, draining bool) {
+	load, err := strconv.Atoi(resp.Header.Get(HeaderLoad))
+	if err != nil {
+		load = -1
+	}
+	return load, resp.Header.Get(HeaderState) == stateDraining
+}
+
+// deliver sends an answer to the caller. A body that breaks off aborts the
+// caller's connection, so that it is never taken for whole.
+func (a *answer) deliver(w http.ResponseWriter, id string) (int64, error) {
+	h := w.Header()
+	for name, values := range a.resp.Header {
+		h[name] = values
+	}
+	dropHop(h)
+	dropOwn(h)
+	h.Set(HeaderRequestID, id)
+	if a.resp.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
+	}
+	w.WriteHeader(a.resp.StatusCode)
+	if a.read {
+		return io.Copy(w, bytes.NewReader(a.whole))
+	}
+	return a.stream(w)
+}
+
+// streamBuffer is the memory in bytes that one streamed answer takes.
+const streamBuffer = 32 << 10
+
+func (a *answer) stream(w http.ResponseWriter) (int64, error) {
+	defer a.resp.Body.Close()
+	flush := http.NewResponseController(w)
+	buf := make([]byte, streamBuffer)
+	var sent int64
+	for {
+		n, err := a.resp.Body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return sent, werr
+			}
+			sent += int64(n)
+			_ = flush.Flush()
+		}
+		if err == io.EOF {
+			return sent, nil
+		}
+		if err != nil {
+			return sent, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/body.go
@@ -0,0 +1,90 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// replayLimit is how much of a request body is kept for another attempt.
+const replayLimit = 64 << 10
+
+// errDetached is what a read of an ended attempt's body returns.
+var errDetached = errors.New("forward: attempt has ended")
+
+// replayBody is a caller's body that can be sent again as long as no more than
+// replayLimit bytes of it were read.
+type replayBody struct {
+	// mu is held while the caller's body is read.
+	mu     sync.Mutex
+	src    io.Reader
+	kept   []byte
+	err    error
+	over   bool
+	length int64
+	user   *attemptBody
+}
+
+func newReplayBody(r *http.Request) *replayBody {
+	return &replayBody{src: r.Body, length: r.ContentLength}
+}
+
+// attemptBody is the body of one attempt. It has no GetBody, so that net/http
+// never sends a request a second time by itself after a part of it was written.
+type attemptBody struct {
+	body *replayBody
+	pos  int
+}
+
+// attach returns the body for the next attempt, from its start. It reports
+// false if that is no longer possible: too much was read, or the attempt before
+// still reads.
+func (b *replayBody) attach() (*attemptBody, bool) {
+	if !b.mu.TryLock() {
+		return nil, false
+	}
+	defer b.mu.Unlock()
+	if b.over {
+		return nil, false
+	}
+	b.user = &attemptBody{body: b}
+	return b.user, true
+}
+
+// Read implements io.Reader.
+func (a *attemptBody) Read(p []byte) (int, error) {
+	b := a.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.user != a {
+		return 0, errDetached
+	}
+	if !b.over && a.pos < len(b.kept) {
+		n := copy(p, b.kept[a.pos:])
+		a.pos += n
+		return n, nil
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.src.Read(p)
+	b.err = err
+	b.keep(p[:n])
+	a.pos += n
+	return n, err
+}
+
+func (b *replayBody) keep(p []byte) {
+	if b.over {
+		return
+	}
+	if len(b.kept)+len(p) > replayLimit {
+		b.over, b.kept = true, nil
+		return
+	}
+	b.kept = append(b.kept, p...)
+}
+
+// Close implements io.Closer.
+func (a *attemptBody) Close() error { return nil }
--- /dev/null
+++ b/internal/membership/prober.go
@@ -0,0 +1,102 @@
+package membership
+
+import (
+	"math/rand/v2"
+)
+
+const (
+	// minScope is the fewest peers that probe each other; a failure domain with
+	// fewer is widened to its region, then to all.
+	minScope = 4
+	// Relays is how many peers are asked to probe a member that did not answer.
+	Relays = 2
+)
+
+// Prober chooses whom to probe. It is not safe for concurrent use.
+type Prober struct {
+	table *Table
+	rnd   *rand.Rand
+	round []string
+}
+
+// NewProber returns a Prober over a table.
+func NewProber(table *Table, rnd *rand.Rand) *Prober {
+	return &Prober{table: table, rnd: rnd}
+}
+
+// Next returns the member to probe in this period. Every peer in the scope
+// comes once in a round, in a new random order each round, so that a failure is
+// noticed within one round at the latest.
+func (p *Prober) Next() (Member, bool) {
+	for range 2 {
+		for len(p.round) > 0 {
+			id := p.round[0]
+			p.round = p.round[1:]
+			if m, ok := p.table.Get(id); ok && m.Live() {
+				return m, true
+			}
+		}
+		p.refill()
+	}
+	return Member{}, false
+}
+
+func (p *Prober) refill() {
+	p.round = p.round[:0]
+	for _, m := range p.scope() {
+		p.round = append(p.round, m.ID)
+	}
+	p.rnd.Shuffle(len(p.round), func(i, j int) { p.round[i], p.round[j] = p.round[j], p.round[i] })
+}
+
+// scope returns the live peers of the failure domain, widened if they are few.
+func (p *Prober) scope() []Member {
+	self := p.table.Self()
+	all, _ := p.table.All()
+	inDomain := func(m Member) bool { return m.Domain == self.Domain && m.Region == self.Region }
+	inRegion := func(m Member) bool { return m.Region == self.Region }
+	everywhere := func(Member) bool { return true }
+	var peers []Member
+	for _, in := range []func(Member) bool{inDomain, inRegion, everywhere} {
+		peers = peers[:0]
+		for _, m := range all {
+			if m.ID != self.ID && m.Live() && in(m) {
+				peers = append(peers, m)
+			}
+		}
+		if len(peers) >= minScope {
+			break
+		}
+	}
+	return peers
+}
+
+// RelaysFor returns peers that can probe a member in the own place.
+func (p *Prober) RelaysFor(id string) []Member {
+	peers := p.scope()
+	p.rnd.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var out []Member
+	for _, m := range peers {
+		if m.ID != id && m.State == Alive && len(out) < Relays {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Remote returns a random live member outside the own failure domain. Readers
+// exchange with one each period, which joins the domains.
+func (p *Prober) Remote() (Member, bool) {
+	self := p.table.Self()
+	all, _ := p.table.All()
+	var out []Member
+	for _, m := range all {
+		if m.Live() && (m.Domain != self.Domain || m.Region != self.Region) {
+			out = append(out, m)
+		}
+	}
+	if len(out) == 0 {
+		return Member{}, false
+	}
+	return out[p.rnd.IntN(len(out))], true
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,306 @@
+// Package membership tells which loomkeel instances are alive.
+//
+// Instances probe each other inside their failure domain and spread what they
+// learn with the probes, after the SWIM protocol (Das, Gupta and Motivala,
+// 2002): a member that answers neither a probe nor a relayed one is suspected,
+// and declared dead if it does not refute that in time by a higher incarnation.
+// The platform's instance list only names whom to ask; it lags, so it neither
+// declares a member alive nor dead.
+//
+// Table is the state and its rules, without sockets or clocks.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what is believed of a member. Of two states of one incarnation the
+// larger wins.
+type State uint8
+
+// The states.
+const (
+	Alive State = iota + 1
+	Suspect
+	Leaving
+	Dead
+)
+
+var stateNames = [...]string{Alive: "alive", Suspect: "suspect", Leaving: "leaving", Dead: "dead"}
+
+// String returns the state's name.
+func (s State) String() string {
+	if s >= Alive && s <= Dead {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Member is one instance.
+type Member struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	State       State  `json:"state"`
+	Region      string `json:"region"`
+	Domain      string `json:"domain"`
+	// Agent, Entry and Director are the addresses of the instance's processes.
+	Agent    string `json:"agent"`
+	Entry    string `json:"entry,omitempty"`
+	Director string `json:"director,omitempty"`
+}
+
+// Live reports whether the member may be sent work or messages.
+func (m Member) Live() bool { return m.State == Alive || m.State == Suspect }
+
+// Config sets the times of a Table.
+type Config struct {
+	// SuspectFor is how long a suspected member has to refute.
+	SuspectFor time.Duration
+	// KeepDead is how long the dead and the departed are remembered, so that
+	// late gossip cannot bring them back.
+	KeepDead time.Duration
+	// Spread is how often an update is passed on.
+	Spread int
+}
+
+// DefaultConfig returns the times for probes once a second.
+func DefaultConfig() Config {
+	return Config{SuspectFor: 4 * time.Second, KeepDead: time.Hour, Spread: 8}
+}
+
+type entry struct {
+	Member
+	// since is when the state was learnt.
+	since time.Time
+	// left is how often the state is still to be passed on.
+	left int
+}
+
+// Table holds what one instance believes of all. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	cfg     Config
+	self    Member
+	entries map[string]*entry
+	changed chan struct{}
+}
+
+// NewTable returns a Table that knows only self.
+func NewTable(self Member, cfg Config) *Table {
+	t := &Table{cfg: cfg, self: self, entries: make(map[string]*entry), changed: make(chan struct{})}
+	t.entries[self.ID] = &entry{Member: self, left: cfg.Spread}
+	return t
+}
+
+// Self returns the own member.
+func (t *Table) Self() Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Merge takes in what others believe and returns the members that changed.
+func (t *Table) Merge(now time.Time, updates ...Member) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []Member
+	for _, u := range updates {
+		if u.ID == t.self.ID {
+			t.refute(now, u)
+			continue
+		}
+		if t.merge(now, u) {
+			changed = append(changed, u)
+		}
+	}
+	if len(changed) > 0 {
+		t.wake()
+	}
+	return changed
+}
+
+// refute answers a belief about the own instance that is not so, also one left
+// over from an earlier life with a faster clock.
+func (t *Table) refute(now time.Time, u Member) {
+	if u.Incarnation < t.self.Incarnation {
+		return
+	}
+	if u.Incarnation == t.self.Incarnation && u.State <= t.self.State {
+		return
+	}
+	t.self.Incarnation = u.Incarnation + 1
+	t.setSelf(now)
+}
+
+func (t *Table) setSelf(now time.Time) {
+	t.entries[t.self.ID] = &entry{Member: t.self, since: now, left: t.cfg.Spread}
+	t.wake()
+}
+
+func (t *Table) merge(now time.Time, u Member) bool {
+	if u.ID == "" || u.State < Alive || u.State > Dead {
+		return false
+	}
+	e := t.entries[u.ID]
+	if e == nil && !u.Live() {
+		// Whoever has forgotten a dead member must not learn of it again, or no
+		// one ever would forget it.
+		return false
+	}
+	if e == nil {
+		t.entries[u.ID] = &entry{Member: u, since: now, left: t.cfg.Spread}
+		return true
+	}
+	if u.Incarnation < e.Incarnation || u.Incarnation == e.Incarnation && u.State <= e.State {
+		return false
+	}
+	*e = entry{Member: u, since: now, left: t.cfg.Spread}
+	return true
+}
+
+// Failed records that a member answered neither a probe nor a relayed one.
+func (t *Table) Failed(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || e.State != Alive {
+		return
+	}
+	e.State, e.since, e.left = Suspect, now, t.cfg.Spread
+	t.wake()
+}
+
+// Tick declares dead who was suspected for too long, and forgets the dead.
+func (t *Table) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		age := now.Sub(e.since)
+		switch {
+		case e.State == Suspect && age >= t.cfg.SuspectFor:
+			e.State, e.since, e.left = Dead, now, t.cfg.Spread
+			t.wake()
+		case id != t.self.ID && !e.Live() && age >= t.cfg.KeepDead:
+			delete(t.entries, id)
+		}
+	}
+}
+
+// Leave marks the own instance as leaving.
+func (t *Table) Leave(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.State = Leaving
+	t.setSelf(now)
+}
+
+// Announce changes the addresses of the own member under a new incarnation.
+func (t *Table) Announce(now time.Time, change func(*Member)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.self
+	change(&t.self)
+	if t.self == before {
+		return
+	}
+	t.self.Incarnation++
+	t.setSelf(now)
+}
+
+// Updates returns what is still to be passed on, at most limit, the least
+// spread first. The caller sends them with its next message.
+func (t *Table) Updates(limit int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []*entry
+	for _, e := range t.entries {
+		if e.left > 0 {
+			due = append(due, e)
+		}
+	}
+	slices.SortFunc(due, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.left, a.left), cmp.Compare(a.ID, b.ID))
+	})
+	var out []Member
+	for _, e := range due[:min(limit, len(due))] {
+		e.left--
+		out = append(out, e.Member)
+	}
+	return out
+}
+
+// All returns every member, the dead ones too, in order of their ids, and a
+// channel that closes when one changes.
+func (t *Table) All() ([]Member, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Member, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, e.Member)
+	}
+	slices.SortFunc(out, byID)
+	return out, t.changed
+}
+
+// Domain returns the members of a failure domain, the dead ones too, in order
+// of their ids.
+func (t *Table) Domain(domain string) []Member {
+	all, _ := t.All()
+	return slices.DeleteFunc(all, func(m Member) bool { return m.Domain != domain })
+}
+
+// Get returns one member.
+func (t *Table) Get(id string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return Member{}, false
+	}
+	return e.Member, true
+}
+
+func byID(a, b Member) int { return cmp.Compare(a.ID, b.ID) }
+
+// Digests returns a checksum over the live members of each failure domain and
+// one over all. They are equal at two tables that believe the same.
+func (t *Table) Digests() (map[string]uint64, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	domains := make(map[string]uint64)
+	var all uint64
+	for _, e := range t.entries {
+		if !e.Live() {
+			continue
+		}
+		h := e.digest()
+		domains[e.Domain] ^= h
+		all ^= h
+	}
+	return domains, all
+}
+
+func (e *entry) digest() uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(e.ID)
+	_, _ = d.Write([]byte{0, byte(e.State)})
+	var inc [8]byte
+	for i := range inc {
+		inc[i] = byte(e.Incarnation >> (8 * i))
+	}
+	_, _ = d.Write(inc[:])
+	return d.Sum64()
+}
+
+func (t *Table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,203 @@
+// Package model compiles the settings tree, the upstream directory and the
+// membership into one immutable snapshot that the data path decides by.
+package model
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/tree"
+)
+
+// Upstream is one back end.
+type Upstream struct {
+	ID          string `json:"id"`
+	Service     string `json:"service"`
+	Region      string `json:"region"`
+	Domain      string `json:"domain"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// Leaving is set when the platform's list says so.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Directory is the list of upstreams at one version.
+type Directory struct {
+	Version   uint64     `json:"version"`
+	Upstreams []Upstream `json:"upstreams"`
+}
+
+// Service is what the own region needs to know of a service.
+type Service struct {
+	Name           string
+	Repeat         string
+	Deadline       time.Duration
+	Priority       int
+	Attempts       int
+	RetryBudget    float64
+	Queue          int
+	QueueWait      time.Duration
+	NotRunStatuses []int
+	Warmup         time.Duration
+	Lifetime       time.Duration
+	ShiftCap       float64
+	// Overflow lists the regions that may take requests, in order.
+	Overflow []string
+	// MaxInFlight caps the requests in flight per region; 0 means the sum of the
+	// slots there.
+	MaxInFlight map[string]int
+	Upstreams   []Upstream
+}
+
+// Link is the way from the own region to another.
+type Link struct {
+	Region  string
+	Latency time.Duration
+	// Bytes is the cap in bytes a second, 0 for none.
+	Bytes int
+}
+
+// Snapshot is everything that the data path decides by. It is immutable.
+type Snapshot struct {
+	Revision  uint64
+	Directory uint64
+	Region    string
+	Tree      *tree.Tree
+	Services  map[string]*Service
+	// Hosts maps host names to services.
+	Hosts  map[string]string
+	Links  map[string]Link
+	Drains []tree.Drain
+	Moves  []tree.Move
+	// Members are the live instances.
+	Members []membership.Member
+	// Regions lists the regions by the latency from the own one, which is first.
+	Regions []string
+}
+
+// Input is what a Snapshot is compiled from.
+type Input struct {
+	Region    string
+	Revision  uint64
+	Tree      *tree.Tree
+	Directory Directory
+	Members   []membership.Member
+}
+
+// Compile returns the snapshot for a region.
+func Compile(in Input) *Snapshot {
+	s := &Snapshot{
+		Revision:  in.Revision,
+		Directory: in.Directory.Version,
+		Region:    in.Region,
+		Tree:      in.Tree,
+		Services:  make(map[string]*Service),
+		Hosts:     make(map[string]string),
+		Drains:    in.Tree.Drains(),
+		Moves:     in.Tree.Moves(),
+	}
+	for _, m := range in.Members {
+		if m.Live() {
+			s.Members = append(s.Members, m)
+		}
+	}
+	s.compileRegions(in)
+	for _, u := range in.Directory.Upstreams {
+		svc := s.Services[u.Service]
+		if svc == nil {
+			svc = s.compileService(u.Service)
+			s.Services[u.Service] = svc
+		}
+		svc.Upstreams = append(svc.Upstreams, u)
+	}
+	return s
+}
+
+// compileRegions finds all regions and orders them by latency.
+func (s *Snapshot) compileRegions(in Input) {
+	s.Links = make(map[string]Link)
+	add := func(region string) {
+		if _, ok := s.Links[region]; ok || region == "" {
+			return
+		}
+		path := tree.LinkPath(in.Region, region)
+		l := Link{Region: region, Latency: in.Tree.Duration(path, tree.KeyLatency), Bytes: in.Tree.Int(path, tree.KeyLinkBytes)}
+		if region == in.Region {
+			l = Link{Region: region}
+		}
+		s.Links[region] = l
+		s.Regions = append(s.Regions, region)
+	}
+	add(in.Region)
+	for _, u := range in.Directory.Upstreams {
+		add(u.Region)
+	}
+	for _, m := range in.Members {
+		add(m.Region)
+	}
+	slices.SortFunc(s.Regions, func(a, b string) int {
+		if a == in.Region || b == in.Region {
+			return cmp.Compare(boolInt(b == in.Region), boolInt(a == in.Region))
+		}
+		return cmp.Or(cmp.Compare(s.Links[a].Latency, s.Links[b].Latency), cmp.Compare(a, b))
+	})
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (s *Snapshot) compileService(name string) *Service {
+	path := tree.ServicePath(name) + "/regions/" + s.Region
+	t := s.Tree
+	svc := &Service{
+		Name:        name,
+		Repeat:      t.String(path, tree.KeyRepeat),
+		Deadline:    t.Duration(path, tree.KeyDeadline),
+		Priority:    t.Int(path, tree.KeyPriority),
+		Attempts:    t.Int(path, tree.KeyAttempts),
+		RetryBudget: t.Float(path, tree.KeyRetryBudget),
+		Queue:       t.Int(path, tree.KeyQueue),
+		QueueWait:   t.Duration(path, tree.KeyQueueWait),
+		Warmup:      t.Duration(path, tree.KeyWarmup),
+		Lifetime:    t.Duration(path, tree.KeyLifetime),
+		ShiftCap:    t.Float(tree.ServicePath(name), tree.KeyShiftCap),
+		Overflow:    t.List(path, tree.KeyOverflow),
+		MaxInFlight: make(map[string]int),
+	}
+	for _, status := range t.List(path, tree.KeyNotRunStatuses) {
+		if n, err := strconv.Atoi(status); err == nil {
+			svc.NotRunStatuses = append(svc.NotRunStatuses, n)
+		}
+	}
+	if len(svc.Overflow) == 0 {
+		svc.Overflow = s.Regions[1:]
+	}
+	for _, region := range s.Regions {
+		svc.MaxInFlight[region] = t.Int(tree.ServicePath(name)+"/regions/"+region, tree.KeyMaxInFlight)
+	}
+	for _, host := range t.List(tree.ServicePath(name), tree.KeyHosts) {
+		s.Hosts[host] = name
+	}
+	return svc
+}
+
+// Draining reports whether an upstream is to get no new work at a time.
+func (s *Snapshot) Draining(u *Upstream, now time.Time) bool {
+	if u.Leaving {
+		return true
+	}
+	for _, d := range s.Drains {
+		if d.Active(now) && d.Matches(u.Service, u.Region, u.Domain, u.ID) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,105 @@
+// Package process holds what all of loomkeel's processes share: logging,
+// signals, HTTP servers with limits, health pages and dumps.
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"flag"
+	"net"
+	"net/http"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/net/netutil"
+	"k8s.io/klog/v2"
+)
+
+// Version is the version of the programs.
+const Version = "0.1.0"
+
+// Limits of every HTTP listener.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	// MaxConns is how many connections a listener holds at one time.
+	MaxConns = 16384
+)
+
+// InitLog sets klog's verbosity.
+func InitLog(verbosity int) {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	_ = fs.Set("v", strconv.Itoa(verbosity))
+	_ = fs.Set("logtostderr", "true")
+}
+
+// Signals returns a context that ends at SIGTERM or SIGINT.
+func Signals(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Server is an HTTP server on one address.
+type Server struct {
+	http *http.Server
+	lis  net.Listener
+}
+
+// Listen opens an address for a handler.
+func Listen(addr string, h http.Handler) (*Server, error) { return ListenTLS(addr, h, nil) }
+
+// ListenTLS is Listen with TLS, or without if conf is nil.
+func ListenTLS(addr string, h http.Handler, conf *tls.Config) (*Server, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if conf != nil {
+		lis = tls.NewListener(lis, conf)
+	}
+	return &Server{lis: netutil.LimitListener(lis, MaxConns), http: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}}, nil
+}
+
+// Serve answers requests until Shutdown.
+func (s *Server) Serve() {
+	if err := s.http.Serve(s.lis); !errors.Is(err, http.ErrServerClosed) {
+		klog.ErrorS(err, "server ended", "addr", s.lis.Addr())
+	}
+}
+
+// Shutdown stops accepting and waits for the requests in flight until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Debug adds the pages that every process has: /healthz, /readyz, /debug/vars
+// and /debug/state. Ready reports whether the process can do its work.
+func Debug(r chi.Router, ready func() bool, dump func() any) {
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	r.Method(http.MethodGet, "/debug/vars", expvar.Handler())
+	r.Get("/debug/state", func(w http.ResponseWriter, _ *http.Request) { JSON(w, http.StatusOK, dump()) })
+}
+
+// JSON answers with a value.
+func JSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v)
+}
--- /dev/null
+++ b/internal/route/lookup.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/tree"
+)
+
+// MaxEntries is how many entries an answer names at most.
+const MaxEntries = 3
+
+// leadTime is how long before an announced change answers get a short lifetime.
+const leadTime = 5 * time.Minute
+
+// shortLifetime is the lifetime of answers given just before a change.
+const shortLifetime = 2 * time.Second
+
+// Entry is one entry instance with its weight.
+type Entry struct {
+	ID     string
+	Addr   string
+	Region string
+	Weight float64
+	hash   uint64
+}
+
+// Answer is what a caller is told: entries in order of preference. The array
+// keeps a look-up free of allocations.
+type Answer struct {
+	Entries  [MaxEntries]*Entry
+	N        int
+	Lifetime time.Duration
+	Revision uint64
+}
+
+type region struct {
+	name    string
+	entries []Entry
+}
+
+// Table answers look-ups. It is immutable.
+type Table struct {
+	blocks   *Blocks
+	regions  map[string]*region
+	order    []string
+	revision uint64
+	services map[string]time.Duration
+	changes  []time.Time
+}
+
+// NewTable returns the table for a snapshot.
+func NewTable(s *model.Snapshot, blocks *Blocks) *Table {
+	t := &Table{
+		blocks:   blocks,
+		regions:  make(map[string]*region),
+		order:    s.Regions,
+		revision: s.Revision,
+		services: make(map[string]time.Duration),
+	}
+	for _, m := range s.Members {
+		t.add(s.Tree, m)
+	}
+	for name, svc := range s.Services {
+		t.services[name] = svc.Lifetime
+	}
+	for _, d := range s.Drains {
+		t.changes = append(t.changes, d.Start)
+	}
+	for _, m := range s.Moves {
+		t.changes = append(t.changes, m.Start)
+	}
+	return t
+}
+
+func (t *Table) add(settings *tree.Tree, m membership.Member) {
+	if m.Entry == "" {
+		return
+	}
+	weight := settings.Float(tree.RegionPath(m.Region)+"/domains/"+m.Domain, tree.KeyWeight)
+	if weight <= 0 {
+		return
+	}
+	r := t.regions[m.Region]
+	if r == nil {
+		r = &region{name: m.Region}
+		t.regions[m.Region] = r
+	}
+	r.entries = append(r.entries, Entry{m.ID, m.Entry, m.Region, weight, xxhash.Sum64String(m.ID)})
+}
+
+// Knows reports whether a service exists.
+func (t *Table) Knows(service string) bool {
+	_, ok := t.services[service]
+	return ok
+}
+
+// Lookup returns the entries for a caller. It names two entries of the caller's
+// first region that has any, and the rest from the regions after it, so that a
+// caller has where to go when its region is lost.
+func (t *Table) Lookup(service string, caller netip.Addr, now time.Time) Answer {
+	a := Answer{Revision: t.revision, Lifetime: t.lifetime(service, now)}
+	key := callerHash(caller)
+	regions := t.blocks.Regions(caller)
+	for _, name := range regions {
+		t.fill(&a, t.regions[name], key)
+	}
+	for _, name := range t.order {
+		if a.N == MaxEntries {
+			break
+		}
+		t.fill(&a, t.regions[name], key)
+	}
+	return a
+}
+
+// fill adds the best entries of a region: up to two for the first region of an
+// answer, then one each.
+func (t *Table) fill(a *Answer, r *region, key uint64) {
+	if r == nil || a.N == MaxEntries || a.has(r.name) {
+		return
+	}
+	first, second := r.best(key)
+	a.Entries[a.N] = first
+	a.N++
+	if a.N == 1 && second != nil {
+		a.Entries[a.N] = second
+		a.N++
+	}
+}
+
+func (a *Answer) has(region string) bool {
+	for _, e := range a.Entries[:a.N] {
+		if e.Region == region {
+			return true
+		}
+	}
+	return false
+}
+
+// best returns the two entries with the highest weighted rendezvous scores.
+func (r *region) best(key uint64) (first, second *Entry) {
+	var top, next float64 = math.Inf(-1), math.Inf(-1)
+	for i := range r.entries {
+		e := &r.entries[i]
+		s := score(key, e)
+		switch {
+		case s > top:
+			second, next = first, top
+			first, top = e, s
+		case s > next:
+			second, next = e, s
+		}
+	}
+	return first, second
+}
+
+// score is -weight/ln(u) for u uniform in (0,1), which picks each entry in
+// proportion to its weight (Schindelhauer and Schomaker, 2005).
+func score(key uint64, e *Entry) float64 {
+	h := mix(key ^ e.hash)
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -e.Weight / math.Log(u)
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func callerHash(addr netip.Addr) uint64 {
+	b := addr.As16()
+	return xxhash.Sum64(b[:])
+}
+
+// lifetime is short ahead of an announced change, since callers cache answers.
+func (t *Table) lifetime(service string, now time.Time) time.Duration {
+	usual := t.services[service]
+	for _, at := range t.changes {
+		until := at.Sub(now)
+		if until > 0 && until < leadTime {
+			usual = min(usual, max(shortLifetime, until/2))
+		}
+	}
+	return usual
+}
+
+// TableDump is a Table for people to read.
+type TableDump struct {
+	Revision uint64             `json:"revision"`
+	Blocks   int                `json:"blocks"`
+	Regions  []string           `json:"regions"`
+	Entries  map[string][]Entry `json:"entries"`
+}
+
+// Dump returns the table for people to read.
+func (t *Table) Dump() TableDump {
+	d := TableDump{Revision: t.revision, Blocks: t.blocks.Len(), Regions: t.order, Entries: make(map[string][]Entry)}
+	for name, r := range t.regions {
+		d.Entries[name] = r.entries
+	}
+	return d
+}
--- /dev/null
+++ b/internal/rpc/peer.go
@@ -0,0 +1,55 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+)
+
+// maxParts bounds the parts of one snapshot.
+const maxParts = 4096
+
+// Peers calls other agents over drpc.
+type Peers struct{ dialer *Dialer }
+
+// NewPeers returns a Peers that connects with dialer.
+func NewPeers(dialer *Dialer) *Peers { return &Peers{dialer} }
+
+// Exchange calls a peer's Exchange.
+func (p *Peers) Exchange(ctx context.Context, addr string, req *pb.ExchangeRequest) (*pb.ExchangeReply, error) {
+	conn := p.dialer.Conn(addr)
+	defer conn.Close()
+	return pb.NewDRPCPeerClient(conn).Exchange(ctx, req)
+}
+
+// Push calls a peer's Push.
+func (p *Peers) Push(ctx context.Context, addr string, req *pb.PushRequest) (*pb.PushReply, error) {
+	conn := p.dialer.Conn(addr)
+	defer conn.Close()
+	return pb.NewDRPCPeerClient(conn).Push(ctx, req)
+}
+
+// Snapshot reads a peer's state if it is newer than above.
+func (p *Peers) Snapshot(ctx context.Context, addr string, above uint64) ([]*pb.SnapshotPart, error) {
+	conn := p.dialer.Conn(addr)
+	defer conn.Close()
+	stream, err := pb.NewDRPCPeerClient(conn).Snapshot(ctx, &pb.SnapshotRequest{Above: above})
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	var parts []*pb.SnapshotPart
+	for len(parts) < maxParts {
+		part, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return parts, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, part)
+	}
+	return nil, errors.New("rpc: snapshot with too many parts")
+}
--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,56 @@
+package rpc
+
+import (
+	"context"
+
+	"storj.io/drpc/drpcmux"
+
+	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+)
+
+// Agent is what a server hands its calls to.
+type Agent interface {
+	HandleExchange(ctx context.Context, req *pb.ExchangeRequest) *pb.ExchangeReply
+	HandlePush(ctx context.Context, req *pb.PushRequest) *pb.PushReply
+	HandleSnapshot(req *pb.SnapshotRequest, send func(*pb.SnapshotPart) error) error
+	HandleFollow(ctx context.Context, req *pb.FollowRequest, send func(*pb.View) error) error
+	HandleReport(req *pb.ReportRequest) *pb.ReportReply
+}
+
+// NewMux returns the services of an agent.
+func NewMux(a Agent) (*drpcmux.Mux, error) {
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterPeer(mux, &peerServer{a}); err != nil {
+		return nil, err
+	}
+	return mux, pb.DRPCRegisterNode(mux, &nodeServer{a})
+}
+
+type peerServer struct{ agent Agent }
+
+// Exchange implements pb.DRPCPeerServer.
+func (s *peerServer) Exchange(ctx context.Context, req *pb.ExchangeRequest) (*pb.ExchangeReply, error) {
+	return s.agent.HandleExchange(ctx, req), nil
+}
+
+// Push implements pb.DRPCPeerServer.
+func (s *peerServer) Push(ctx context.Context, req *pb.PushRequest) (*pb.PushReply, error) {
+	return s.agent.HandlePush(ctx, req), nil
+}
+
+// Snapshot implements pb.DRPCPeerServer.
+func (s *peerServer) Snapshot(req *pb.SnapshotRequest, stream pb.DRPCPeer_SnapshotStream) error {
+	return s.agent.HandleSnapshot(req, stream.Send)
+}
+
+type nodeServer struct{ agent Agent }
+
+// Follow implements pb.DRPCNodeServer.
+func (s *nodeServer) Follow(req *pb.FollowRequest, stream pb.DRPCNode_FollowStream) error {
+	return s.agent.HandleFollow(stream.Context(), req, stream.Send)
+}
+
+// Report implements pb.DRPCNodeServer.
+func (s *nodeServer) Report(_ context.Context, req *pb.ReportRequest) (*pb.ReportReply, error) {
+	return s.agent.HandleReport(req), nil
+}
--- /dev/null
+++ b/internal/standin/http.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/loomkeel/loomkeel/internal/platform"
+)
+
+// Platform serves a Store and a List over HTTP in the form that
+// platform.Client expects, with a page to inject faults.
+type Platform struct {
+	Store *Store
+	List  *List
+
+	mu   sync.Mutex
+	mode string
+}
+
+// Handler returns the HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/kv/{key}", p.get)
+	r.Put("/v1/kv/{key}", p.put)
+	r.Delete("/v1/kv/{key}", p.del)
+	r.Post("/v1/leases", p.grant)
+	r.Put("/v1/leases/{id}", p.keepAlive)
+	r.Get("/v1/instances", p.instances)
+	r.Post("/fault/{mode}", p.fault)
+	r.Post("/leaving/{id}", p.leaving)
+	r.Get("/calls", p.calls)
+	return r
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	key := chi.URLParam(r, "key")
+	wait, watching := waitOf(r)
+	if !watching {
+		e, err := p.Store.Get(r.Context(), key)
+		answer(w, e, err)
+		return
+	}
+	e, err := p.Store.Watch(r.Context(), key, numberOf(r, "not"), wait)
+	answer(w, e, err)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValue+1))
+	if err != nil {
+		return
+	}
+	lease := platform.LeaseID(numberOf(r, "lease"))
+	version, err := p.Store.Swap(r.Context(), chi.URLParam(r, "key"), numberOf(r, "version"), value, lease)
+	answer(w, platform.Entry{Version: version}, err)
+}
+
+func (p *Platform) del(w http.ResponseWriter, r *http.Request) {
+	err := p.Store.Delete(r.Context(), chi.URLParam(r, "key"), numberOf(r, "version"))
+	answer(w, platform.Entry{Version: 1}, err)
+}
+
+func (p *Platform) grant(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id, err := p.Store.Grant(r.Context(), ttl)
+	answer(w, platform.Entry{Value: []byte(strconv.FormatUint(uint64(id), 10)), Version: 1}, err)
+}
+
+func (p *Platform) keepAlive(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	answer(w, platform.Entry{Version: 1}, p.Store.KeepAlive(r.Context(), platform.LeaseID(id)))
+}
+
+func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
+	wait, _ := waitOf(r)
+	l, err := p.List.Instances(r.Context(), numberOf(r, "not"), wait)
+	body, _ := json.Marshal(l)
+	answer(w, platform.Entry{Value: body, Version: l.Version}, err)
+}
+
+// fault switches the store and the list between up, down, lose-replies and slow.
+func (p *Platform) fault(w http.ResponseWriter, r *http.Request) {
+	mode := chi.URLParam(r, "mode")
+	faults := map[string]Fault{
+		"none":         {},
+		"down":         {Down: true},
+		"lose-replies": {LoseReply: true},
+		"slow":         {Delay: time.Second},
+	}
+	f, ok := faults[mode]
+	if !ok {
+		http.Error(w, "fault: one of none, down, lose-replies, slow", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.mode = mode
+	p.mu.Unlock()
+	p.List.SetDown(f.Down)
+	p.Store.SetFault(func(op Op, _ string) Fault {
+		if f.LoseReply && op != OpSwap {
+			return Fault{}
+		}
+		return f
+	})
+}
+
+// leaving marks an instance of the list as leaving.
+func (p *Platform) leaving(_ http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	p.List.Update(func(instances []platform.Instance) []platform.Instance {
+		for i := range instances {
+			if instances[i].ID == id {
+				instances[i].Leaving = true
+			}
+		}
+		return instances
+	})
+}
+
+func (p *Platform) calls(w http.ResponseWriter, _ *http.Request) {
+	for _, op := range []Op{OpGet, OpSwap, OpDelete, OpWatch, OpLease} {
+		fmt.Fprintf(w, "%s %d\n", op, p.Store.Calls(op))
+	}
+}
+
+func numberOf(r *http.Request, name string) uint64 {
+	n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	return n
+}
+
+func waitOf(r *http.Request) (time.Duration, bool) {
+	s := r.URL.Query().Get("wait")
+	if s == "" {
+		return 0, false
+	}
+	d, err := time.ParseDuration(s)
+	return d, err == nil
+}
+
+func answer(w http.ResponseWriter, e platform.Entry, err error) {
+	switch {
+	case err == nil && e.Version == platform.Absent:
+		w.WriteHeader(http.StatusNotFound)
+	case err == nil:
+		w.Header().Set(platform.VersionHeader, strconv.FormatUint(e.Version, 10))
+		_, _ = w.Write(e.Value)
+	case errors.Is(err, platform.ErrConflict):
+		w.WriteHeader(http.StatusConflict)
+	case errors.Is(err, platform.ErrNoLease):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, platform.ErrRefused):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	case errors.Is(err, ErrReplyLost):
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,261 @@
+// Package standin holds small stand-ins for what surrounds loomkeel: the
+// platform's key-value service and instance list, and upstreams. They serve the
+// tests and the quick start, and can be told to fail in the ways that the real
+// ones do.
+package standin
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/platform"
+)
+
+// ErrUnavailable is what a call to a Store that is down returns.
+var ErrUnavailable = errors.New("standin: store unavailable")
+
+// ErrReplyLost is what a call returns whose reply was lost.
+var ErrReplyLost = errors.New("standin: reply lost")
+
+// Fault is what a Store does to a call.
+type Fault struct {
+	// Down fails the call before it has an effect.
+	Down bool
+	// LoseReply fails the call after it has had its effect.
+	LoseReply bool
+	// Delay holds the call before it has an effect.
+	Delay time.Duration
+}
+
+// Op names the calls of a Store.
+type Op string
+
+// The calls that faults and counts tell apart.
+const (
+	OpGet    Op = "get"
+	OpSwap   Op = "swap"
+	OpDelete Op = "delete"
+	OpWatch  Op = "watch"
+	OpLease  Op = "lease"
+)
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+	keys  map[string]uint64
+}
+
+// Store is an in-memory key-value service with faults to inject. It is safe for
+// concurrent use and runs under virtual time.
+type Store struct {
+	mu      sync.Mutex
+	entries map[string]platform.Entry
+	leases  map[platform.LeaseID]*lease
+	version uint64
+	changed chan struct{}
+	fault   func(op Op, key string) Fault
+	calls   [5]atomic.Int64
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// NewStore returns an empty Store without faults.
+func NewStore() *Store {
+	return &Store{
+		entries: make(map[string]platform.Entry),
+		leases:  make(map[platform.LeaseID]*lease),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFault installs the function that picks the fault of each call; nil means
+// none. The function is called with the store locked.
+func (s *Store) SetFault(f func(op Op, key string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.wake()
+}
+
+// Calls returns how often op was called.
+func (s *Store) Calls(op Op) int64 { return s.calls[opIndex(op)].Load() }
+
+func opIndex(op Op) int {
+	for i, o := range [...]Op{OpGet, OpSwap, OpDelete, OpWatch, OpLease} {
+		if o == op {
+			return i
+		}
+	}
+	panic("standin: unknown op " + string(op))
+}
+
+// begin counts the call and applies what happens before its effect.
+func (s *Store) begin(ctx context.Context, op Op, key string) (Fault, error) {
+	s.calls[opIndex(op)].Add(1)
+	s.mu.Lock()
+	f := s.pick(op, key)
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return f, ctx.Err()
+		}
+	}
+	if f.Down {
+		return f, ErrUnavailable
+	}
+	return f, ctx.Err()
+}
+
+func (s *Store) pick(op Op, key string) Fault {
+	if s.fault == nil {
+		return Fault{}
+	}
+	return s.fault(op, key)
+}
+
+func (f Fault) end(err error) error {
+	if f.LoseReply {
+		return ErrReplyLost
+	}
+	return err
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	f, err := s.begin(ctx, OpGet, key)
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[key], f.end(nil)
+}
+
+// Swap implements platform.Store.
+func (s *Store) Swap(ctx context.Context, key string, version uint64, value []byte, id platform.LeaseID) (uint64, error) {
+	f, err := s.begin(ctx, OpSwap, key)
+	if err != nil {
+		return 0, err
+	}
+	if len(value) > platform.MaxValue {
+		return 0, platform.ErrRefused
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].Version != version {
+		return 0, f.end(platform.ErrConflict)
+	}
+	if id != 0 && s.leases[id] == nil {
+		return 0, f.end(platform.ErrNoLease)
+	}
+	s.version++
+	s.entries[key] = platform.Entry{Value: append([]byte(nil), value...), Version: s.version}
+	if id != 0 {
+		s.leases[id].keys[key] = s.version
+	}
+	s.wake()
+	return s.version, f.end(nil)
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, version uint64) error {
+	f, err := s.begin(ctx, OpDelete, key)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].Version != version {
+		return f.end(platform.ErrConflict)
+	}
+	delete(s.entries, key)
+	s.wake()
+	return f.end(nil)
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, key string, version uint64, wait time.Duration) (platform.Entry, error) {
+	if _, err := s.begin(ctx, OpWatch, key); err != nil {
+		return platform.Entry{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		e, changed, f := s.entries[key], s.changed, s.pick(OpWatch, key)
+		s.mu.Unlock()
+		if f.Down {
+			return platform.Entry{}, ErrUnavailable
+		}
+		if e.Version != version {
+			return e, f.end(nil)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return e, nil
+		case <-ctx.Done():
+			return platform.Entry{}, ctx.Err()
+		}
+	}
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	f, err := s.begin(ctx, OpLease, "")
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	id := platform.LeaseID(s.version)
+	l := &lease{ttl: ttl, keys: make(map[string]uint64)}
+	l.timer = time.AfterFunc(ttl, func() { s.lapse(id) })
+	s.leases[id] = l
+	return id, f.end(nil)
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	f, err := s.begin(ctx, OpLease, "")
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return f.end(platform.ErrNoLease)
+	}
+	l.timer.Reset(l.ttl)
+	return f.end(nil)
+}
+
+// lapse ends a lease and removes the keys that it still holds.
+func (s *Store) lapse(id platform.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return
+	}
+	delete(s.leases, id)
+	for key, version := range l.keys {
+		if s.entries[key].Version == version {
+			delete(s.entries, key)
+		}
+	}
+	s.wake()
+}
+
+// wake lets all watches look again. The caller holds the lock.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/standin/upstream.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/loomkeel/loomkeel/internal/forward"
+)
+
+// Run is one request that an upstream executed.
+type Run struct {
+	ID     string `json:"id"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Bytes is the length of the request's body.
+	Bytes int64     `json:"bytes"`
+	At    time.Time `json:"at"`
+}
+
+// Upstream is a back end with a number of slots. It records what it executes,
+// sheds load beyond its slots, reports its load, and can be told to fail. It is
+// safe for concurrent use.
+type Upstream struct {
+	// ID is put into the answers.
+	ID    string
+	Slots int
+	// Work is how long one request takes.
+	Work time.Duration
+
+	mu       sync.Mutex
+	inFlight int
+	runs     []Run
+	mode     string
+	slots    chan struct{}
+}
+
+// Modes of an upstream.
+const (
+	ModeNormal = "normal"
+	// ModeRefuse sheds every request, not run.
+	ModeRefuse = "refuse"
+	// ModeDie executes a request and closes the connection without an answer.
+	ModeDie = "die"
+	// ModeCut executes a request and closes in the middle of the answer.
+	ModeCut = "cut"
+	// ModeIdle reports no load whatever there is.
+	ModeIdle = "idle"
+	// ModeDraining answers that the upstream drains.
+	ModeDraining = "draining"
+)
+
+// NewUpstream returns an upstream with a number of slots.
+func NewUpstream(id string, slots int, work time.Duration) *Upstream {
+	return &Upstream{ID: id, Slots: slots, Work: work, mode: ModeNormal, slots: make(chan struct{}, slots)}
+}
+
+// SetMode tells the upstream how to behave.
+func (u *Upstream) SetMode(mode string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.mode = mode
+}
+
+// Runs returns what the upstream executed.
+func (u *Upstream) Runs() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Run(nil), u.runs...)
+}
+
+// Handler returns the upstream's interface: any path is a request, /-/ is for
+// tests.
+func (u *Upstream) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/-/runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(u.Runs()) })
+	r.Post("/-/mode/{mode}", func(_ http.ResponseWriter, req *http.Request) { u.SetMode(chi.URLParam(req, "mode")) })
+	r.HandleFunc("/*", u.serve)
+	return r
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	mode := u.enter()
+	defer u.leave()
+	if mode == ModeRefuse || !u.takeSlot() {
+		u.headers(w, mode)
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	defer func() { <-u.slots }()
+	n, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
+	select {
+	case <-time.After(u.Work):
+	case <-r.Context().Done():
+		return
+	}
+	u.record(Run{ID: r.Header.Get(forward.HeaderRequestID), Method: r.Method, Path: r.URL.Path, Bytes: n, At: time.Now()})
+	u.answer(w, r, mode)
+}
+
+func (u *Upstream) takeSlot() bool {
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, mode string) {
+	if mode == ModeDie {
+		panic(http.ErrAbortHandler)
+	}
+	u.headers(w, mode)
+	if id := r.Header.Get(forward.HeaderRequestID); id != "" {
+		w.Header().Set(forward.HeaderRequestID, id)
+	}
+	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	body := fmt.Sprintf("%s answered %s %s\n", u.ID, r.Method, r.URL.Path)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+size))
+	_, _ = io.WriteString(w, body)
+	if mode == ModeCut {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(make([]byte, size))
+}
+
+func (u *Upstream) headers(w http.ResponseWriter, mode string) {
+	load := 0
+	if mode != ModeIdle {
+		u.mu.Lock()
+		load = u.inFlight
+		u.mu.Unlock()
+	}
+	w.Header().Set(forward.HeaderLoad, strconv.Itoa(load))
+	if mode == ModeDraining {
+		w.Header().Set(forward.HeaderState, "draining")
+	}
+}
+
+func (u *Upstream) enter() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight++
+	return u.mode
+}
+
+func (u *Upstream) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight--
+}
+
+func (u *Upstream) record(r Run) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs = append(u.runs, r)
+}
--- /dev/null
+++ b/internal/tree/schedule.go
@@ -0,0 +1,103 @@
+package tree
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Drain is an announced drain of an upstream, a failure domain or a region.
+type Drain struct {
+	Path                              string
+	Service, Region, Domain, Upstream string
+	Start, End                        time.Time
+}
+
+// Active reports whether the drain is in force at a time.
+func (d Drain) Active(at time.Time) bool { return d.covers(at) }
+
+// Matches reports whether the drain is for an upstream.
+func (d Drain) Matches(service, region, domain, upstream string) bool {
+	if d.Service != "" && d.Service != service {
+		return false
+	}
+	if d.Upstream != "" {
+		return d.Upstream == upstream
+	}
+	return d.Region == region && (d.Domain == "" || d.Domain == domain)
+}
+
+// Move is an announced move of a share of a service's traffic.
+type Move struct {
+	Path              string
+	Service, From, To string
+	Start             time.Time
+	Duration          time.Duration
+	Fraction, Step    float64
+}
+
+// Share returns how much of the region's traffic is to be moved at a time. It
+// rises in steps from zero at Start to Fraction at Start plus Duration. Every
+// instance computes it from its own clock, so a move goes on while the
+// configuration store is away.
+func (m Move) Share(at time.Time) float64 {
+	elapsed := at.Sub(m.Start)
+	switch {
+	case elapsed < 0:
+		return 0
+	case elapsed >= m.Duration:
+		return m.Fraction
+	}
+	share := m.Fraction * float64(elapsed) / float64(m.Duration)
+	if m.Step <= 0 {
+		return share
+	}
+	return math.Floor(share/m.Step) * m.Step
+}
+
+// Drains returns the announced drains in order of their paths.
+func (t *Tree) Drains() []Drain {
+	var drains []Drain
+	for _, p := range t.pathsUnder("/drains/") {
+		drains = append(drains, Drain{
+			Path:     p,
+			Service:  t.String(p, KeyService),
+			Region:   t.String(p, KeyRegion),
+			Domain:   t.String(p, KeyDomain),
+			Upstream: t.String(p, KeyUpstream),
+			Start:    t.Time(p, KeyStart),
+			End:      t.Time(p, KeyEnd),
+		})
+	}
+	return drains
+}
+
+// Moves returns the announced moves in order of their paths.
+func (t *Tree) Moves() []Move {
+	var moves []Move
+	for _, p := range t.pathsUnder("/moves/") {
+		moves = append(moves, Move{
+			Path:     p,
+			Service:  t.String(p, KeyService),
+			From:     t.String(p, KeyFrom),
+			To:       t.String(p, KeyTo),
+			Start:    t.Time(p, KeyStart),
+			Duration: t.Duration(p, KeyDuration),
+			Fraction: t.Float(p, KeyFraction),
+			Step:     t.Float(p, KeyStep),
+		})
+	}
+	return moves
+}
+
+func (t *Tree) pathsUnder(prefix string) []string {
+	var paths []string
+	for p, n := range t.nodes {
+		if strings.HasPrefix(p, prefix) && isSet(n) {
+			paths = append(paths, p)
+		}
+	}
+	slices.Sort(paths)
+	return paths
+}
--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,153 @@
+// Package fleet runs a small deployment of loomkeel as separate processes on
+// loopback, with stand-ins for the platform and the upstreams, for the quick
+// start and for the proofs under failure.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/platform"
+)
+
+// Spec says what to run.
+type Spec struct {
+	// Nodes are loomkeel's instances.
+	Nodes []Node
+	// Groups are the upstreams.
+	Groups []Group
+	// Work is how long a request takes at an upstream.
+	Work time.Duration
+	// Linger is how long a stopping entry still takes requests.
+	Linger time.Duration
+}
+
+// Node is one instance of loomkeel.
+type Node struct{ ID, Region, Domain string }
+
+// Group is a number of upstreams of one service in one failure domain.
+type Group struct {
+	Service, Region, Domain string
+	Count, Slots            int
+}
+
+// Addresses are those of one instance's processes.
+type Addresses struct {
+	Peer, Operator, Director, DirectorDebug, Entry, EntryDebug string
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Spec      Spec
+	Platform  string
+	Nodes     map[string]Addresses
+	Upstreams []platform.Instance
+	bin, dir  string
+	procs     map[string]*Proc
+}
+
+// New lays out a deployment: it takes addresses and writes the files. Bin is
+// the directory of the binaries, dir one for settings and logs.
+func New(bin, dir string, spec Spec) (*Fleet, error) {
+	f := &Fleet{Spec: spec, bin: bin, dir: dir, Nodes: make(map[string]Addresses), procs: make(map[string]*Proc)}
+	ports, err := freePorts(1 + 6*len(spec.Nodes) + countUpstreams(spec))
+	if err != nil {
+		return nil, err
+	}
+	next := func() string {
+		addr := fmt.Sprintf("127.0.0.1:%d", ports[0])
+		ports = ports[1:]
+		return addr
+	}
+	f.Platform = next()
+	instances := f.layOut(next)
+	body, err := json.MarshalIndent(instances, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(f.path("instances.json"), body, 0o600); err != nil {
+		return nil, err
+	}
+	for _, n := range spec.Nodes {
+		if err := os.WriteFile(f.path(n.ID+".ini"), []byte(f.settings(n)), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func countUpstreams(s Spec) int {
+	n := 0
+	for _, g := range s.Groups {
+		n += g.Count
+	}
+	return n
+}
+
+func (f *Fleet) layOut(next func() string) []platform.Instance {
+	var list []platform.Instance
+	for _, n := range f.Spec.Nodes {
+		a := Addresses{next(), next(), next(), next(), next(), next()}
+		f.Nodes[n.ID] = a
+		list = append(list, platform.Instance{ID: n.ID, Kind: platform.KindNode, Region: n.Region, Domain: n.Domain, Address: a.Peer})
+	}
+	for _, g := range f.Spec.Groups {
+		for i := range g.Count {
+			u := platform.Instance{
+				ID:      fmt.Sprintf("%s-%s-%d", g.Service, g.Domain, i+1),
+				Kind:    platform.KindUpstream,
+				Service: g.Service, Region: g.Region, Domain: g.Domain,
+				Address: next(), Slots: g.Slots, Connections: 400,
+			}
+			f.Upstreams = append(f.Upstreams, u)
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+func (f *Fleet) path(name string) string { return filepath.Join(f.dir, name) }
+
+func (f *Fleet) settings(n Node) string {
+	a := f.Nodes[n.ID]
+	var b strings.Builder
+	fmt.Fprintf(&b, "[instance]\nid = %s\nregion = %s\ndomain = %s\n\n", n.ID, n.Region, n.Domain)
+	fmt.Fprintf(&b, "[platform]\naddress = http://%s\ntimeout = 1s\n\n", f.Platform)
+	fmt.Fprintf(&b, "[agent]\npeer = %s\noperator = %s\nseeds = %s\n\n", a.Peer, a.Operator, f.seeds())
+	fmt.Fprintf(&b, "[director]\nlisten = %s\ndebug = %s\n\n", a.Director, a.DirectorDebug)
+	fmt.Fprintf(&b, "[entry]\nlisten = %s\ndebug = %s\nlinger = %s\n", a.Entry, a.EntryDebug, f.Spec.Linger)
+	return b.String()
+}
+
+func (f *Fleet) seeds() string {
+	var seeds []string
+	for _, n := range f.Spec.Nodes {
+		seeds = append(seeds, f.Nodes[n.ID].Peer)
+	}
+	return strings.Join(seeds, ", ")
+}
+
+// freePorts returns ports that were free a moment ago.
+func freePorts(n int) ([]int, error) {
+	var ports []int
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		held = append(held, l)
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
--- /dev/null
+++ b/test/fleet/proc.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Proc is one process of the deployment.
+type Proc struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Signal sends a signal to the process.
+func (p *Proc) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Done closes when the process has ended.
+func (p *Proc) Done() <-chan struct{} { return p.done }
+
+// Err returns how the process ended, after Done.
+func (p *Proc) Err() error { return p.err }
+
+// Kill ends the process at once and waits for its end.
+func (p *Proc) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// start runs a binary; its output goes to a log file.
+func (f *Fleet) start(name, binary string, args ...string) (*Proc, error) {
+	log, err := os.OpenFile(f.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(filepath.Join(f.bin, binary), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &Proc{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		log.Close()
+		close(p.done)
+	}()
+	f.procs[name] = p
+	return p, nil
+}
+
+// Names of a node's processes.
+const (
+	Agent    = "agent"
+	Director = "director"
+	Entry    = "entry"
+)
+
+// StartPlatform starts the stand-in of the platform.
+func (f *Fleet) StartPlatform() error {
+	_, err := f.start("platform", "loomkeel-standin", "platform", "--listen", f.Platform, "--instances", f.path("instances.json"))
+	if err != nil {
+		return err
+	}
+	return f.waitFor("http://" + f.Platform + "/calls")
+}
+
+// StartUpstreams starts the stand-ins of all upstreams.
+func (f *Fleet) StartUpstreams() error {
+	_, err := f.start("upstreams", "loomkeel-standin", "upstreams", "--instances", f.path("instances.json"), "--work", f.Spec.Work.String())
+	if err != nil {
+		return err
+	}
+	for _, u := range f.Upstreams {
+		if err := f.waitFor("http://" + u.Address + "/-/runs"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartProcess starts one process of a node.
+func (f *Fleet) StartProcess(node, process string) (*Proc, error) {
+	return f.start(node+"-"+process, "loomkeel-"+process, "--settings", f.path(node+".ini"))
+}
+
+// StartNode starts an instance. It does not wait until it is ready.
+func (f *Fleet) StartNode(node string) error {
+	for _, p := range []string{Agent, Director, Entry} {
+		if _, err := f.StartProcess(node, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts everything and waits until it is ready.
+func (f *Fleet) Start() error {
+	if err := f.StartPlatform(); err != nil {
+		return err
+	}
+	if err := f.StartUpstreams(); err != nil {
+		return err
+	}
+	for _, n := range f.Spec.Nodes {
+		if err := f.StartNode(n.ID); err != nil {
+			return err
+		}
+	}
+	for _, n := range f.Spec.Nodes {
+		if err := f.WaitReady(n.ID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until an instance's entry and director are ready.
+func (f *Fleet) WaitReady(node string) error {
+	a := f.Nodes[node]
+	return errors.Join(f.waitFor("http://"+a.DirectorDebug+"/readyz"), f.waitFor("http://"+a.EntryDebug+"/readyz"))
+}
+
+// Proc returns a process by its name, such as "n1-entry", "platform" or
+// "upstreams".
+func (f *Fleet) Proc(name string) *Proc { return f.procs[name] }
+
+// Stop ends every process that was started.
+func (f *Fleet) Stop() {
+	for _, p := range f.procs {
+		_ = p.Signal(syscall.SIGCONT)
+		p.Kill()
+	}
+}
+
+// patience is how long Eventually waits before it calls a condition failed. It
+// bounds broken runs only; no check depends on how long things take.
+const patience = 60 * time.Second
+
+// Eventually waits until ok reports nil.
+func Eventually(ok func() error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for {
+		err := ok()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// waitFor waits until a URL answers with 200.
+func (f *Fleet) waitFor(url string) error {
+	return Eventually(func() error {
+		resp, err := http.Get(url)
+		if err != nil {
+			return err
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s: %s", url, resp.Status)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/test/fleet/use.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/ctl"
+	"github.com/loomkeel/loomkeel/internal/director"
+	"github.com/loomkeel/loomkeel/internal/forward"
+	"github.com/loomkeel/loomkeel/internal/standin"
+	"github.com/loomkeel/loomkeel/internal/verdict"
+)
+
+// Lookup asks a node's director for entries.
+func (f *Fleet) Lookup(node, service, client string) (director.Answer, error) {
+	q := url.Values{"service": {service}, "client": {client}}
+	var a director.Answer
+	resp, err := http.Get("http://" + f.Nodes[node].Director + "/v1/lookup?" + q.Encode())
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(resp.Body)
+		return a, fmt.Errorf("lookup: %s: %s", resp.Status, b)
+	}
+	return a, json.NewDecoder(resp.Body).Decode(&a)
+}
+
+// Reply is what a caller got for a request.
+type Reply struct {
+	Status int
+	Body   string
+	// Verdict is empty on an upstream's own answer.
+	Verdict string
+	ID      string
+	Took    time.Duration
+	// Err is set if no whole answer came.
+	Err error
+}
+
+// Told returns what the caller knows of the request's execution.
+func (r Reply) Told() verdict.Verdict {
+	if r.Err != nil {
+		return verdict.MayHaveRun
+	}
+	if r.Verdict == "" {
+		return verdict.Ran
+	}
+	v, err := verdict.Parse(r.Verdict)
+	if err != nil {
+		return verdict.MayHaveRun
+	}
+	return v
+}
+
+// Request is a caller's request.
+type Request struct {
+	Entry, Method, Path, Service, Repeat, ID, Body string
+	Deadline                                       time.Duration
+}
+
+// callerClient neither retries nor shares connections with other tests.
+var callerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}
+
+// Do sends a caller's request to an entry.
+func Do(ctx context.Context, r Request) Reply {
+	start := time.Now()
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Entry+r.Path, strings.NewReader(r.Body))
+	if err != nil {
+		return Reply{Err: err}
+	}
+	req.GetBody = nil
+	req.Header.Set(forward.HeaderService, r.Service)
+	req.Header.Set(forward.HeaderRequestID, r.ID)
+	if r.Repeat != "" {
+		req.Header.Set(forward.HeaderRepeat, r.Repeat)
+	}
+	if r.Deadline > 0 {
+		req.Header.Set(forward.HeaderDeadline, fmt.Sprint(r.Deadline.Milliseconds()))
+	}
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		return Reply{Err: err, ID: r.ID, Took: time.Since(start)}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return Reply{resp.StatusCode, string(b), resp.Header.Get(verdict.Header), r.ID, time.Since(start), err}
+}
+
+// Runs returns how often each request id ran at the upstreams.
+func (f *Fleet) Runs() (map[string]int, error) {
+	out := make(map[string]int)
+	for _, u := range f.Upstreams {
+		runs, err := f.RunsAt(u.Address)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range runs {
+			out[r.ID]++
+		}
+	}
+	return out, nil
+}
+
+// RunsAt returns what one upstream executed.
+func (f *Fleet) RunsAt(addr string) ([]standin.Run, error) {
+	resp, err := http.Get("http://" + addr + "/-/runs")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var runs []standin.Run
+	return runs, json.NewDecoder(resp.Body).Decode(&runs)
+}
+
+// Post calls a stand-in's test page, such as a fault of the platform.
+func Post(addr, path string) error {
+	resp, err := http.Post("http://"+addr+path, "", nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Ctl runs loomkeelctl against a node and returns its output and exit status.
+func (f *Fleet) Ctl(node string, args ...string) (string, int) {
+	cmd := exec.Command(filepath.Join(f.bin, "loomkeelctl"), append([]string{"--agent", f.Nodes[node].Operator}, args...)...)
+	out, _ := cmd.CombinedOutput()
+	return strings.TrimSpace(string(out)), cmd.ProcessState.ExitCode()
+}
+
+// Client returns a client of a node's operator address.
+func (f *Fleet) Client(node string) *ctl.Client {
+	c, _ := ctl.NewClient(f.Nodes[node].Operator, "")
+	return c
+}
+
+// EntryRevision returns the revision in force at a node's entry.
+func (f *Fleet) EntryRevision(node string) (uint64, error) {
+	resp, err := http.Get("http://" + f.Nodes[node].EntryDebug + "/debug/state")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var d struct {
+		Revision uint64 `json:"revision"`
+	}
+	return d.Revision, json.NewDecoder(resp.Body).Decode(&d)
+}
--- /dev/null
+++ b/test/quickstart/main.go
@@ -0,0 +1,257 @@
+// Command quickstart runs a small deployment as separate processes and shows
+// one session: a look-up, requests, a change, a drain and a planned stop under
+// load. It exits with 1 and the cause if anything is not as it should be.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/verdict"
+	"github.com/loomkeel/loomkeel/test/fleet"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "directory of the binaries")
+	keep := flag.Bool("keep", false, "leave the deployment running until interrupted")
+	flag.Parse()
+	if err := run(*bin, *keep); err != nil {
+		fmt.Println("FAILED:", err)
+		os.Exit(1)
+	}
+}
+
+var spec = fleet.Spec{
+	Nodes: []fleet.Node{{ID: "n1", Region: "muscat", Domain: "muscat-a"}, {ID: "n2", Region: "muscat", Domain: "muscat-b"}},
+	Groups: []fleet.Group{
+		{Service: "stock", Region: "muscat", Domain: "muscat-a", Count: 2, Slots: 9},
+		{Service: "stock", Region: "muscat", Domain: "muscat-b", Count: 2, Slots: 9},
+		{Service: "orders", Region: "muscat", Domain: "muscat-a", Count: 1, Slots: 6},
+		{Service: "orders", Region: "muscat", Domain: "muscat-b", Count: 1, Slots: 6},
+	},
+	Work:   5 * time.Millisecond,
+	Linger: 2 * time.Second,
+}
+
+func run(bin string, keep bool) error {
+	dir, err := os.MkdirTemp("", "loomkeel-quickstart-")
+	if err != nil {
+		return err
+	}
+	f, err := fleet.New(bin, dir, spec)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	start := time.Now()
+	if err := f.Start(); err != nil {
+		return fmt.Errorf("start: %w (logs in %s)", err, dir)
+	}
+	fmt.Printf("started: platform, %d upstreams, %d instances of 3 processes, ready in %v\n", len(f.Upstreams), len(f.Nodes), time.Since(start).Round(time.Millisecond))
+	if keep {
+		return wait(f)
+	}
+	for _, step := range []func(*fleet.Fleet) error{lookup, requests, change, drain, stop} {
+		if err := step(f); err != nil {
+			return fmt.Errorf("%w (logs in %s)", err, dir)
+		}
+	}
+	return os.RemoveAll(dir)
+}
+
+func wait(f *fleet.Fleet) error {
+	for id, a := range f.Nodes {
+		fmt.Printf("%s: look-ups http://%s/v1/lookup?service=stock  requests http://%s  operators %s\n", id, a.Director, a.Entry, a.Operator)
+	}
+	fmt.Println("interrupt to stop")
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	<-ctx.Done()
+	return nil
+}
+
+func lookup(f *fleet.Fleet) error {
+	err := fleet.Eventually(func() error {
+		a, err := f.Lookup("n1", "stock", "10.1.2.3")
+		if err == nil && len(a.Entries) < 2 {
+			err = fmt.Errorf("look-up names %d entries, want 2", len(a.Entries))
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	a, err := f.Lookup("n1", "stock", "10.1.2.3")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("look-up: use %s (%s), else %s; for %gs\n", a.Entries[0].ID, a.Entries[0].Address, a.Entries[1].ID, a.Lifetime)
+	return nil
+}
+
+func requests(f *fleet.Fleet) error {
+	ctx := context.Background()
+	entry := f.Nodes["n1"].Entry
+	safe := fleet.Do(ctx, fleet.Request{Entry: entry, Method: "GET", Path: "/palms", Service: "stock", ID: "safe-1"})
+	unsafe := fleet.Do(ctx, fleet.Request{Entry: entry, Method: "POST", Path: "/orders", Service: "orders", ID: "order-1", Body: "3 date palms"})
+	if safe.Status != 200 || unsafe.Status != 200 {
+		return fmt.Errorf("requests answered %d and %d: %v %v", safe.Status, unsafe.Status, safe, unsafe)
+	}
+	fmt.Printf("safe request: %d in %v: %s", safe.Status, safe.Took.Round(time.Microsecond), safe.Body)
+	fmt.Printf("unsafe request: %d in %v: %s", unsafe.Status, unsafe.Took.Round(time.Microsecond), unsafe.Body)
+	return nil
+}
+
+func change(f *fleet.Fleet) error {
+	start := time.Now()
+	out, status := f.Ctl("n1", "set", "/services/stock", "deadline=2s")
+	if status != 0 {
+		return fmt.Errorf("set: status %d: %s", status, out)
+	}
+	took := time.Since(start)
+	err := fleet.Eventually(func() error {
+		for id := range f.Nodes {
+			if rev, err := f.EntryRevision(id); err != nil || rev < 1 {
+				return errors.Join(err, fmt.Errorf("%s is at revision %d", id, rev))
+			}
+		}
+		return nil
+	})
+	fmt.Printf("change: %s in %v, in force at every entry after %v\n", out, took.Round(time.Millisecond), time.Since(start).Round(time.Millisecond))
+	return err
+}
+
+// load sends orders to an entry until ctx ends, and reports what was told.
+type load struct {
+	wg                        sync.WaitGroup
+	sent, ran, notRun, unsure atomic.Int64
+	next                      atomic.Int64
+	mu                        sync.Mutex
+	replies                   []fleet.Reply
+}
+
+func (l *load) run(ctx context.Context, name, entry string, callers int) {
+	for range callers {
+		l.wg.Go(func() {
+			for ctx.Err() == nil {
+				id := fmt.Sprintf("%s-%d", name, l.next.Add(1))
+				r := fleet.Do(context.Background(), fleet.Request{Entry: entry, Method: "POST", Path: "/orders", Service: "orders", ID: id, Body: "palm"})
+				l.count(r)
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+}
+
+func (l *load) count(r fleet.Reply) {
+	l.sent.Add(1)
+	switch r.Told() {
+	case verdict.Ran:
+		l.ran.Add(1)
+	case verdict.NotRun:
+		l.notRun.Add(1)
+	default:
+		l.unsure.Add(1)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replies = append(l.replies, r)
+}
+
+// check compares what callers were told with what the upstreams ran.
+func (l *load) check(f *fleet.Fleet) error {
+	runs, err := f.Runs()
+	if err != nil {
+		return err
+	}
+	for _, r := range l.replies {
+		n := runs[r.ID]
+		told := r.Told()
+		if n > 1 || told == verdict.NotRun && n != 0 || told == verdict.Ran && n != 1 {
+			return fmt.Errorf("request %s: told %v, ran %d times", r.ID, told, n)
+		}
+	}
+	return nil
+}
+
+func drain(f *fleet.Fleet) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var l load
+	l.run(ctx, "drain", f.Nodes["n1"].Entry, 4)
+	start := time.Now()
+	out, status := f.Ctl("n2", "drain", "night-work", "--region", "muscat", "--domain", "muscat-a")
+	if status != 0 {
+		cancel()
+		return fmt.Errorf("drain: status %d: %s", status, out)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	cancel()
+	l.wg.Wait()
+	last := time.Duration(0)
+	for _, u := range f.Upstreams {
+		if u.Domain != "muscat-a" {
+			continue
+		}
+		runs, err := f.RunsAt(u.Address)
+		if err != nil {
+			return err
+		}
+		for _, r := range runs {
+			last = max(last, r.At.Sub(start))
+		}
+	}
+	fmt.Printf("drain: last request at the drained domain ended %v after the announcement; %d sent, %d ran, %d not run, %d unsure\n",
+		last.Round(time.Millisecond), l.sent.Load(), l.ran.Load(), l.notRun.Load(), l.unsure.Load())
+	if out, status := f.Ctl("n1", "undrain", "night-work"); status != 0 {
+		return fmt.Errorf("undrain: status %d: %s", status, out)
+	}
+	if l.notRun.Load()+l.unsure.Load() > 0 {
+		return errors.New("a request was refused or lost during the drain")
+	}
+	return l.check(f)
+}
+
+func stop(f *fleet.Fleet) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var l load
+	l.run(ctx, "stop", f.Nodes["n2"].Entry, 4)
+	start := time.Now()
+	if err := f.Proc("n2-entry").Signal(syscall.SIGTERM); err != nil {
+		cancel()
+		return err
+	}
+	err := fleet.Eventually(func() error {
+		a, err := f.Lookup("n1", "orders", "10.1.2.3")
+		if err != nil {
+			return err
+		}
+		for _, e := range a.Entries {
+			if e.ID == "n2" {
+				return errors.New("look-up still names the stopping entry")
+			}
+		}
+		return nil
+	})
+	gone := time.Since(start)
+	time.Sleep(spec.Linger / 2)
+	cancel()
+	l.wg.Wait()
+	<-f.Proc("n2-entry").Done()
+	if err := errors.Join(err, f.Proc("n2-entry").Err()); err != nil {
+		return fmt.Errorf("planned stop: %w", err)
+	}
+	fmt.Printf("planned stop: out of the look-ups after %v, ended after %v; %d sent, %d ran, %d not run, %d unsure\n",
+		gone.Round(time.Millisecond), time.Since(start).Round(time.Millisecond), l.sent.Load(), l.ran.Load(), l.notRun.Load(), l.unsure.Load())
+	if l.unsure.Load() > 0 {
+		return errors.New("a request was cut off by the planned stop")
+	}
+	return l.check(f)
+}
