Let parts that were cut apart find each other again

Cause: two regions cut apart for an hour each declared the other dead and forgot it; nobody probes the dead, so the parts never met again. Found by TestRegionsCutApart, which failed (not joined within a minute). Ruled out: the store and the tree, since the configuration did heal over the store.

Change: readers try a lost or never-heard instance every 5 periods; a peer is told what is believed of it, so it can refute; a belief from outside a member's scope that it has failed is not taken in but put to the member, so that a heal does not make live neighbours look dead; a member that does not answer is followed by probes beside it.

--- a/internal/agent/directory.go
+++ b/internal/agent/directory.go
@@ -12,6 +12,8 @@
 	mu      sync.Mutex
 	list    model.Directory
 	changed chan struct{}
+	// addrs are the agents that the platform's list names.
+	addrs []string
 }
 
 func newDirectory() *directory { return &directory{changed: make(chan struct{})} }
@@ -42,6 +44,27 @@
 	return true
 }
 
+// take takes in the platform's list.
+func (d *directory) take(l platform.List) {
+	var addrs []string
+	for _, i := range l.Instances {
+		if i.Kind == platform.KindNode && !i.Leaving {
+			addrs = append(addrs, i.Address)
+		}
+	}
+	d.mu.Lock()
+	d.addrs = addrs
+	d.mu.Unlock()
+	d.set(fromPlatform(l))
+}
+
+// nodes returns the addresses of the agents that the platform's list names.
+func (d *directory) nodes() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.addrs...)
+}
+
 // fromPlatform returns the upstreams of the platform's list.
 func fromPlatform(l platform.List) model.Directory {
 	d := model.Directory{Version: l.Version}
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -25,30 +25,27 @@
 	syncDomains = 4
 	// announceTo is how many members hear at once of a change of the own.
 	announceTo = 8
+	// maxFollowUps is how many more members of a failure domain are probed in
+	// the period in which one of it did not answer.
+	maxFollowUps = 4
+	// rejoinEvery is the number of periods between attempts of a reader to reach
+	// an instance that is believed dead or was never heard of.
+	rejoinEvery = 5
 )
 
 // probeLoop probes one member each period.
 func (a *Agent) probeLoop(ctx context.Context) {
-	differing := 0
 	if !pause(ctx, time.Duration(a.intN(int(a.opt.Period)))) {
 		return
 	}
 	tick := time.NewTicker(a.opt.Period)
 	defer tick.Stop()
-	for {
+	differing := 0
+	for period := 1; ; period++ {
 		a.table.Tick(time.Now())
-		for _, m := range a.probeTargets() {
-			same, ok := a.probe(ctx, m)
-			if ok && same {
-				differing = 0
-			}
-			if ok && !same {
-				differing++
-			}
-			if differing >= syncAfter {
-				differing = 0
-				a.syncDomains(ctx, m)
-			}
+		differing = a.probePeriod(ctx, differing)
+		if period%rejoinEvery == 0 {
+			a.rejoin(ctx)
 		}
 		select {
 		case <-tick.C:
@@ -58,6 +55,75 @@
 	}
 }
 
+// probePeriod probes the members that are due, and others beside those that do
+// not answer. Differing counts the peers in a row that hold other members.
+func (a *Agent) probePeriod(ctx context.Context, differing int) int {
+	due := a.probeTargets()
+	followUps := 0
+	for len(due) > 0 && ctx.Err() == nil {
+		m := due[0]
+		due = due[1:]
+		same, ok := a.probe(ctx, m)
+		switch {
+		case ok && same:
+			differing = 0
+		case ok:
+			differing++
+		case followUps < maxFollowUps:
+			followUps++
+			due = append(due, a.beside(m)...)
+		}
+		if differing >= syncAfter {
+			differing = 0
+			a.syncDomains(ctx, m)
+		}
+	}
+	return differing
+}
+
+func (a *Agent) beside(m membership.Member) []membership.Member {
+	a.proberMu.Lock()
+	defer a.proberMu.Unlock()
+	if next, ok := a.prober.Beside(m); ok {
+		return []membership.Member{next}
+	}
+	return nil
+}
+
+// rejoin lets a reader try to reach an instance that is believed dead, or that
+// only the seeds or the platform's list name. Without it two parts that were
+// cut apart for long would each take the other for dead for ever.
+func (a *Agent) rejoin(ctx context.Context) {
+	if !a.plan().Reader {
+		return
+	}
+	known := make(map[string]bool)
+	all, _ := a.table.All()
+	for _, m := range all {
+		known[m.Agent] = m.Live() || m.State == membership.Leaving
+	}
+	known[a.opt.Self.Agent] = true
+	var addrs []string
+	for _, m := range a.table.Lost() {
+		addrs = append(addrs, m.Agent)
+	}
+	for _, addr := range slices.Concat(a.opt.Seeds, a.directory.nodes()) {
+		if !known[addr] {
+			addrs = append(addrs, addr)
+		}
+	}
+	if len(addrs) == 0 {
+		return
+	}
+	addr := addrs[a.intN(len(addrs))]
+	lost := a.table.Lost()
+	req := a.exchangeRequest(lost[:min(maxUpdates, len(lost))])
+	req.Want = []string{a.table.Self().Domain}
+	if reply, err := a.exchange(ctx, addr, req); err == nil {
+		a.takeReply(ctx, reply)
+	}
+}
+
 // probeTargets returns the next member of the own scope and, for a reader, one
 // of another failure domain.
 func (a *Agent) probeTargets() []membership.Member {
@@ -77,9 +143,11 @@
 // probe exchanges with a member, over others if it does not answer. It reports
 // whether both hold the same members, and whether the member answered at all.
 func (a *Agent) probe(ctx context.Context, m membership.Member) (same, ok bool) {
-	reply, err := a.exchange(ctx, m.Agent, a.exchangeRequest(a.table.Updates(maxUpdates)))
+	req := a.exchangeRequest(a.table.Updates(maxUpdates))
+	req.Updates = append(req.Updates, a.doubts(m.ID)...)
+	reply, err := a.exchange(ctx, m.Agent, req)
 	if err == nil {
-		a.takeReply(reply)
+		a.takeReply(ctx, reply)
 		_, digest := a.table.Digests()
 		return digest == reply.GetDigest(), true
 	}
@@ -141,14 +209,14 @@
 // HandleExchange answers a peer's probe with whatever the peer lacks.
 func (a *Agent) HandleExchange(ctx context.Context, req *pb.ExchangeRequest) *pb.ExchangeReply {
 	from := rpc.MemberFromProto(req.GetFrom())
-	now := time.Now()
-	a.table.Merge(now, append(rpc.MembersFromProto(req.GetUpdates()), from)...)
+	a.merge(ctx, from, req.GetUpdates())
 	reply := &pb.ExchangeReply{
 		From:      rpc.MemberToProto(a.table.Self()),
 		Revision:  a.log.Revision(),
 		Directory: a.directory.version(),
 		Updates:   rpc.MembersToProto(a.updatesFor(req)),
 	}
+	reply.Updates = append(reply.Updates, a.doubts(from.ID)...)
 	domains, digest := a.table.Digests()
 	reply.Digest = digest
 	if digest != req.GetDigest() && len(req.GetWant()) > 0 {
@@ -169,6 +237,34 @@
 	return reply
 }
 
+// doubts returns the own belief about a member if it is not that the member is
+// alive, so that the member can refute it.
+func (a *Agent) doubts(id string) []*pb.Member {
+	m, ok := a.table.Get(id)
+	if !ok || m.State == membership.Alive {
+		return nil
+	}
+	return []*pb.Member{rpc.MemberToProto(m)}
+}
+
+// merge takes in what a peer believes. Members whom it wrongly takes for failed
+// are told, and refute.
+func (a *Agent) merge(ctx context.Context, from membership.Member, updates []*pb.Member) {
+	disputed := a.table.Merge(time.Now(), from, rpc.MembersFromProto(updates)...)
+	for _, m := range disputed {
+		go a.challenge(context.WithoutCancel(ctx), m)
+	}
+}
+
+// challenge tells a member that others take it for failed.
+func (a *Agent) challenge(ctx context.Context, m membership.Member) {
+	req := a.exchangeRequest(nil)
+	req.Updates = []*pb.Member{rpc.MemberToProto(m)}
+	if reply, err := a.exchange(ctx, m.Agent, req); err == nil {
+		a.takeReply(ctx, reply)
+	}
+}
+
 // updatesFor returns the members that a request asks for, or else what is to be
 // passed on.
 func (a *Agent) updatesFor(req *pb.ExchangeRequest) []membership.Member {
@@ -195,21 +291,21 @@
 	if err != nil {
 		return false
 	}
-	a.takeReply(reply)
+	a.takeReply(ctx, reply)
 	return true
 }
 
 // takeReply takes in what a peer holds, and fetches the rest if the peer is
 // further ahead than one reply can carry.
-func (a *Agent) takeReply(reply *pb.ExchangeReply) {
+func (a *Agent) takeReply(ctx context.Context, reply *pb.ExchangeReply) {
 	from := rpc.MemberFromProto(reply.GetFrom())
-	a.table.Merge(time.Now(), append(rpc.MembersFromProto(reply.GetUpdates()), from)...)
+	a.merge(ctx, from, reply.GetUpdates())
 	if reply.GetUpstreams() != nil {
 		a.directory.set(rpc.DirectoryFromProto(reply.GetUpstreams()))
 	}
 	a.apply(reply.GetRecords(), from.ID)
 	if reply.GetRevision() > a.log.Revision() {
-		go a.pull(context.Background(), from)
+		go a.pull(context.WithoutCancel(ctx), from)
 	}
 }
 
@@ -248,7 +344,7 @@
 	if err != nil {
 		return
 	}
-	a.takeReply(reply)
+	a.takeReply(ctx, reply)
 	mine, _ := a.table.Digests()
 	var want []string
 	for _, d := range reply.GetDomains() {
@@ -266,7 +362,7 @@
 	req = a.exchangeRequest(updates)
 	req.Want = want
 	if reply, err = a.exchange(ctx, m.Agent, req); err == nil {
-		a.takeReply(reply)
+		a.takeReply(ctx, reply)
 	}
 }
 
@@ -280,7 +376,7 @@
 		wg.Go(func() {
 			reply, err := a.exchange(ctx, m.Agent, a.exchangeRequest(nil))
 			if err == nil {
-				a.takeReply(reply)
+				a.takeReply(ctx, reply)
 			}
 		})
 	}
--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return err
 		}
-		a.directory.set(fromPlatform(l))
+		a.directory.take(l)
 		return nil
 	})
 }
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -8,7 +8,6 @@
 
 	"github.com/loomkeel/loomkeel/internal/configlog"
 	"github.com/loomkeel/loomkeel/internal/membership"
-	"github.com/loomkeel/loomkeel/internal/platform"
 	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
 )
@@ -36,6 +35,9 @@
 			break
 		}
 	}
+	if a.log.Revision() > 0 {
+		a.origin.Store("neighbour's records")
+	}
 	if a.snapshotFromPeers(ctx) {
 		return
 	}
@@ -56,12 +58,8 @@
 	defer cancel()
 	l, err := a.opt.List.Instances(call, 0, 0)
 	if err == nil {
-		a.directory.set(fromPlatform(l))
-		for _, i := range l.Instances {
-			if i.Kind == platform.KindNode && !i.Leaving {
-				addrs = append(addrs, i.Address)
-			}
-		}
+		a.directory.take(l)
+		addrs = append(addrs, a.directory.nodes()...)
 	}
 	a.proberMu.Lock()
 	defer a.proberMu.Unlock()
@@ -79,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	a.takeReply(reply)
+	a.takeReply(ctx, reply)
 	return nil
 }
 
--- /dev/null
+++ b/internal/configlog/committer_test.go
@@ -0,0 +1,305 @@
+package configlog
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/platform"
+	"github.com/loomkeel/loomkeel/internal/standin"
+	"github.com/loomkeel/loomkeel/internal/tree"
+)
+
+// writer is an operator's side with its own log.
+type writer struct {
+	log *Log
+	c   *Committer
+}
+
+func newWriter(s platform.Store) *writer {
+	log := NewLog()
+	return &writer{log, NewCommitter(s, log, time.Now)}
+}
+
+func (w *writer) commit(t testing.TB, c Change) Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return w.c.Commit(ctx, c)
+}
+
+func deadline(id, service, value string) Change {
+	return Change{ID: id, Author: "op", Edits: []tree.Edit{{Path: "/services/" + service, Key: tree.KeyDeadline, Value: value}}}
+}
+
+// occurrences reads the whole log and counts each change id.
+func occurrences(t testing.TB, s platform.Store) (map[string]int, *Log) {
+	t.Helper()
+	log := NewLog()
+	seen := make(map[string]int)
+	for {
+		before := log.Revision()
+		_, more, err := readNext(t.Context(), s, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !more {
+			return seen, log
+		}
+		if log.Revision() == before+1 {
+			seen[log.History(1)[0].ID]++
+		}
+	}
+}
+
+// faultOnce applies a fault to the first call of an op on keys with a prefix.
+func faultOnce(s *standin.Store, op standin.Op, prefix string, f standin.Fault) {
+	done := false
+	s.SetFault(func(o standin.Op, key string) standin.Fault {
+		if done || o != op || !strings.HasPrefix(key, prefix) {
+			return standin.Fault{}
+		}
+		done = true
+		return f
+	})
+}
+
+func TestCommitSurvivesOneLostCall(t *testing.T) {
+	faults := map[string]standin.Fault{
+		"reply lost after effect":    {LoseReply: true},
+		"reply lost without effect":  {Down: true},
+		"slow":                       {Delay: 2 * time.Second},
+		"slow and reply lost":        {Delay: time.Second, LoseReply: true},
+		"outlasts the commit's time": {Delay: 3 * time.Second},
+	}
+	for name, f := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				faultOnce(s, standin.OpSwap, "log/", f)
+				r := newWriter(s).commit(t, deadline("c1", "stock", "2s"))
+				if r.Outcome != Accepted || r.Revision != 1 {
+					t.Fatalf("commit = %+v", r)
+				}
+				if seen, _ := occurrences(t, s); seen["c1"] != 1 {
+					t.Fatalf("log holds the change %d times", seen["c1"])
+				}
+			})
+		})
+	}
+}
+
+// TestDelayedSwapIsNotCalledRefused holds the swap back beyond the commit's
+// time: the change may still come into the log, so it must not be called
+// refused, and sending it again must not apply it twice.
+func TestDelayedSwapIsNotCalledRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		s.SetFault(func(op standin.Op, key string) standin.Fault {
+			return standin.Fault{LoseReply: op == standin.OpSwap, Down: op == standin.OpGet && s.Calls(standin.OpSwap) > 0}
+		})
+		w := newWriter(s)
+		if r := w.commit(t, deadline("c1", "stock", "2s")); r.Outcome != Unknown {
+			t.Fatalf("commit = %+v, want unknown", r)
+		}
+		s.SetFault(nil)
+		for _, again := range []*writer{w, newWriter(s)} {
+			if r := again.commit(t, deadline("c1", "stock", "2s")); r.Outcome != Accepted || r.Revision != 1 {
+				t.Fatalf("second commit = %+v", r)
+			}
+		}
+	})
+}
+
+func TestStoreAwayRefusesAtOnceWithAdvice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		w := newWriter(s)
+		w.commit(t, deadline("c1", "stock", "2s"))
+		s.SetFault(func(standin.Op, string) standin.Fault { return standin.Fault{Down: true} })
+		r := w.commit(t, deadline("c2", "stock", "3s"))
+		if r.Outcome != Refused || r.Refusal.Kind != RefusedUnavailable || r.Refusal.RetryAfter <= 0 {
+			t.Fatalf("commit = %+v", r)
+		}
+		s.SetFault(nil)
+		if seen, _ := occurrences(t, s); seen["c2"] != 0 {
+			t.Fatal("refused change is in the log")
+		}
+	})
+}
+
+// TestRacingOperators lets operators change the same path from the same
+// revision, and different paths.
+func TestRacingOperators(t *testing.T) {
+	for _, n := range []int{2, 10} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				newWriter(s).commit(t, deadline("first", "stock", "1s"))
+				same := race(t, s, n, func(i int) Change {
+					c := deadline(fmt.Sprintf("same-%d", i), "stock", "2s")
+					c.Base = 1
+					return c
+				})
+				if same[Accepted] != 1 || same[Refused] != n-1 {
+					t.Errorf("one path: %v, want 1 accepted and the rest refused", same)
+				}
+				other := race(t, s, n, func(i int) Change {
+					return deadline(fmt.Sprintf("other-%d", i), fmt.Sprintf("s%d", i), "2s")
+				})
+				if other[Accepted] != n {
+					t.Errorf("different paths: %v, want all accepted", other)
+				}
+			})
+		})
+	}
+}
+
+func race(t *testing.T, s platform.Store, n int, change func(i int) Change) map[Outcome]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	got := make(map[Outcome]int)
+	for i := range n {
+		w := newWriter(s)
+		wg.Go(func() {
+			r := w.commit(t, change(i))
+			mu.Lock()
+			defer mu.Unlock()
+			got[r.Outcome]++
+		})
+	}
+	wg.Wait()
+	return got
+}
+
+// TestRestrictedPair lets two drains race which are each allowed, but not
+// together.
+func TestRestrictedPair(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		got := race(t, s, 2, func(i int) Change {
+			path := fmt.Sprintf("/drains/d%d", i)
+			return Change{ID: path, Author: "op", Edits: []tree.Edit{
+				{Path: path, Key: tree.KeyRegion, Value: "sohar"},
+				{Path: path, Key: tree.KeyDomain, Value: fmt.Sprintf("sohar-%d", i)},
+				{Path: path, Key: tree.KeyStart, Value: "2026-12-02T22:00:00Z"},
+			}}
+		})
+		if got[Accepted] != 1 || got[Refused] != 1 {
+			t.Fatalf("%v, want one accepted and one refused", got)
+		}
+	})
+}
+
+// TestWriterPausedAcrossTheRing holds one writer's swap while others go a whole
+// round of the ring and more. The late swap must not be accepted at a revision
+// that is long past, where nobody would apply it.
+func TestWriterPausedAcrossTheRing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		faultOnce(s, standin.OpSwap, "log/", standin.Fault{Delay: 24 * time.Hour})
+		late := newWriter(s)
+		var r Result
+		var wg sync.WaitGroup
+		wg.Go(func() { r = late.c.Commit(context.Background(), deadline("late", "stock", "9s")) })
+		synctest.Wait()
+		others := newWriter(s)
+		const rounds = RingSize + 100
+		for i := range rounds {
+			if got := others.commit(t, deadline(fmt.Sprint("c", i), "orders", "2s")); got.Outcome != Accepted {
+				t.Fatalf("commit %d = %+v", i, got)
+			}
+		}
+		wg.Wait()
+		if r.Outcome != Accepted || r.Revision != rounds+1 {
+			t.Fatalf("late commit = %+v, want accepted at %d", r, rounds+1)
+		}
+		if err := NewReader(s, others.log).CatchUp(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		_, tr, _ := others.log.View()
+		if got := tr.String("/services/stock", tree.KeyDeadline); got != "9s" {
+			t.Errorf("late change is not in force: deadline %s", got)
+		}
+	})
+}
+
+// TestNewcomerStartsFromSnapshot starts a reader after the ring has wrapped.
+func TestNewcomerStartsFromSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		w := newWriter(s)
+		for i := range RingSize + 300 {
+			w.commit(t, deadline(fmt.Sprint("c", i), fmt.Sprint("s", i%50), fmt.Sprintf("%dms", 1000+i)))
+		}
+		fresh := NewLog()
+		if err := NewReader(s, fresh).Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if fresh.Revision() != w.log.Revision() {
+			t.Fatalf("newcomer at %d, log at %d", fresh.Revision(), w.log.Revision())
+		}
+		if !sameState(fresh, w.log) {
+			t.Error("newcomer's state differs")
+		}
+		// A change id from before the snapshot is still known.
+		again := &writer{fresh, NewCommitter(s, fresh, time.Now)}
+		if r := again.commit(t, deadline(fmt.Sprint("c", RingSize), "s1", "1s")); r.Outcome != Accepted || r.Revision != RingSize+1 {
+			t.Errorf("repeated change = %+v", r)
+		}
+	})
+}
+
+func sameState(a, b *Log) bool {
+	pa, pb := a.Snapshot().Parts(), b.Snapshot().Parts()
+	if len(pa) != len(pb) {
+		return false
+	}
+	for i := range pa {
+		if pa[i].String() != pb[i].String() {
+			return false
+		}
+	}
+	return true
+}
+
+// TestHeadMissing finds a record whose writer died before it raised the head.
+func TestHeadMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		s.SetFault(func(_ standin.Op, key string) standin.Fault { return standin.Fault{Down: key == headKey} })
+		newWriter(s).commit(t, deadline("c1", "stock", "2s"))
+		s.SetFault(nil)
+		log := NewLog()
+		r := NewReader(s, log)
+		if err := r.Wait(t.Context(), time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.CatchUp(t.Context()); err != nil || log.Revision() != 1 {
+			t.Fatalf("at revision %d, %v", log.Revision(), err)
+		}
+	})
+}
+
+// TestStoreBehindIsRefused gives a writer a store that has lost what was
+// accepted: it must neither go back nor write into the gap.
+func TestStoreBehindIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		w := newWriter(s)
+		for i := range RingSize + 10 {
+			w.commit(t, deadline(fmt.Sprint("c", i), "stock", "2s"))
+		}
+		restored := standin.NewStore()
+		behind := &writer{w.log, NewCommitter(restored, w.log, time.Now)}
+		before := w.log.Revision()
+		r := behind.commit(t, deadline("x", "stock", "3s"))
+		if r.Outcome != Refused || w.log.Revision() != before {
+			t.Fatalf("commit = %+v, revision %d", r, w.log.Revision())
+		}
+	})
+}
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -1,16 +1,9 @@
 package membership
 
-import (
-	"math/rand/v2"
-)
+import "math/rand/v2"
 
-const (
-	// minScope is the fewest peers that probe each other; a failure domain with
-	// fewer is widened to its region, then to all.
-	minScope = 4
-	// Relays is how many peers are asked to probe a member that did not answer.
-	Relays = 2
-)
+// Relays is how many peers are asked to probe a member that did not answer.
+const Relays = 2
 
 // Prober chooses whom to probe. It is not safe for concurrent use.
 type Prober struct {
@@ -43,37 +36,15 @@
 
 func (p *Prober) refill() {
 	p.round = p.round[:0]
-	for _, m := range p.scope() {
+	for _, m := range p.table.Scope() {
 		p.round = append(p.round, m.ID)
 	}
 	p.rnd.Shuffle(len(p.round), func(i, j int) { p.round[i], p.round[j] = p.round[j], p.round[i] })
 }
 
-// scope returns the live peers of the failure domain, widened if they are few.
-func (p *Prober) scope() []Member {
-	self := p.table.Self()
-	all, _ := p.table.All()
-	inDomain := func(m Member) bool { return m.Domain == self.Domain && m.Region == self.Region }
-	inRegion := func(m Member) bool { return m.Region == self.Region }
-	everywhere := func(Member) bool { return true }
-	var peers []Member
-	for _, in := range []func(Member) bool{inDomain, inRegion, everywhere} {
-		peers = peers[:0]
-		for _, m := range all {
-			if m.ID != self.ID && m.Live() && in(m) {
-				peers = append(peers, m)
-			}
-		}
-		if len(peers) >= minScope {
-			break
-		}
-	}
-	return peers
-}
-
 // RelaysFor returns peers that can probe a member in the own place.
 func (p *Prober) RelaysFor(id string) []Member {
-	peers := p.scope()
+	peers := p.table.Scope()
 	p.rnd.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var out []Member
 	for _, m := range peers {
@@ -84,14 +55,30 @@
 	return out
 }
 
+// Beside returns a random live member of the failure domain of one that did not
+// answer. What fails together stands together, so it is probed next.
+func (p *Prober) Beside(m Member) (Member, bool) {
+	return p.pick(func(o Member) bool {
+		return o.ID != m.ID && o.State == Alive && o.Domain == m.Domain && o.Region == m.Region
+	})
+}
+
 // Remote returns a random live member outside the own failure domain. Readers
 // exchange with one each period, which joins the domains.
 func (p *Prober) Remote() (Member, bool) {
+	self := p.table.Self()
+	return p.pick(func(m Member) bool {
+		return m.Live() && (m.Domain != self.Domain || m.Region != self.Region)
+	})
+}
+
+// pick returns a random member other than the own that is in a set.
+func (p *Prober) pick(in func(Member) bool) (Member, bool) {
 	self := p.table.Self()
 	all, _ := p.table.All()
 	var out []Member
 	for _, m := range all {
-		if m.Live() && (m.Domain != self.Domain || m.Region != self.Region) {
+		if m.ID != self.ID && in(m) {
 			out = append(out, m)
 		}
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -107,24 +107,39 @@
 	return t.self
 }
 
-// Merge takes in what others believe and returns the members that changed.
-func (t *Table) Merge(now time.Time, updates ...Member) []Member {
+// Merge takes in what a peer believes. It returns beliefs that it did not take
+// in: that a member of the own scope has failed, from a peer outside the scope.
+// The peer may merely have been cut off from that member, so the member itself
+// has to be told, and will refute.
+func (t *Table) Merge(now time.Time, from Member, updates ...Member) (disputed []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var changed []Member
+	changed := t.merge(now, from)
 	for _, u := range updates {
-		if u.ID == t.self.ID {
+		switch {
+		case u.ID == t.self.ID:
 			t.refute(now, u)
-			continue
-		}
-		if t.merge(now, u) {
-			changed = append(changed, u)
+		case t.disputes(from, u):
+			disputed = append(disputed, u)
+		default:
+			changed = t.merge(now, u) || changed
 		}
 	}
-	if len(changed) > 0 {
+	if changed {
 		t.wake()
 	}
-	return changed
+	return disputed
+}
+
+// disputes reports whether a belief that a live member of the own scope has
+// failed comes from outside the scope.
+func (t *Table) disputes(from, u Member) bool {
+	e := t.entries[u.ID]
+	if e == nil || e.State != Alive || u.Incarnation != e.Incarnation || u.State != Suspect && u.State != Dead {
+		return false
+	}
+	in := t.scopeFilter()
+	return in(u) && !in(from)
 }
 
 // refute answers a belief about the own instance that is not so, also one left
@@ -146,7 +161,7 @@
 }
 
 func (t *Table) merge(now time.Time, u Member) bool {
-	if u.ID == "" || u.State < Alive || u.State > Dead {
+	if u.ID == "" || u.ID == t.self.ID || u.State < Alive || u.State > Dead {
 		return false
 	}
 	e := t.entries[u.ID]
@@ -257,6 +272,60 @@
 	return slices.DeleteFunc(all, func(m Member) bool { return m.Domain != domain })
 }
 
+// minScope is the fewest peers that watch over each other; a failure domain with
+// fewer is widened to its region, then to all.
+const minScope = 2
+
+// Scope returns the live peers that the own instance probes, and whose word on
+// each other counts.
+func (t *Table) Scope() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	in := t.scopeFilter()
+	var peers []Member
+	for _, e := range t.entries {
+		if e.ID != t.self.ID && e.Live() && in(e.Member) {
+			peers = append(peers, e.Member)
+		}
+	}
+	slices.SortFunc(peers, byID)
+	return peers
+}
+
+// scopeFilter returns the smallest of domain, region and all that holds enough
+// peers. Suspects count, so that a failure does not widen the scope at once.
+func (t *Table) scopeFilter() func(Member) bool {
+	self := t.self
+	inDomain := func(m Member) bool { return m.Domain == self.Domain && m.Region == self.Region }
+	inRegion := func(m Member) bool { return m.Region == self.Region }
+	domain, region := 0, 0
+	for _, e := range t.entries {
+		if e.ID == self.ID || !e.Live() {
+			continue
+		}
+		if inDomain(e.Member) {
+			domain++
+		}
+		if inRegion(e.Member) {
+			region++
+		}
+	}
+	switch {
+	case domain >= minScope:
+		return inDomain
+	case region >= minScope:
+		return inRegion
+	}
+	return func(Member) bool { return true }
+}
+
+// Lost returns the members that are believed to have failed without a farewell,
+// in order of their ids.
+func (t *Table) Lost() []Member {
+	all, _ := t.All()
+	return slices.DeleteFunc(all, func(m Member) bool { return m.State != Dead })
+}
+
 // Get returns one member.
 func (t *Table) Get(id string) (Member, bool) {
 	t.mu.Lock()
