--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/membership"
@@ -17,8 +16,7 @@
 func storeDown(standin.Op, string) standin.Fault { return standin.Fault{Down: true} }
 
 func TestChangeReachesAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 3, 2, 4)
 		rev := commit(t, nodes[5], change("c1", "2s"))
 		took := waitUntil(t, "in force", inForce, allAt(nodes, rev))
@@ -29,8 +27,7 @@
 // TestStoreKilledAfterAcceptance takes the store away in the moment that a
 // change is accepted, at an agent that is no reader and at one that is.
 func TestStoreKilledAfterAcceptance(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 3, 2, 4)
 		for _, reader := range []bool{false, true} {
 			for _, x := range nodes {
@@ -57,8 +54,7 @@
 
 // TestReadersKilled kills every reader together with the change's acceptance.
 func TestReadersKilled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 2, 2, 6)
 		var readers, others []*node
 		for _, x := range nodes {
@@ -80,12 +76,11 @@
 // TestRegionsCutApart cuts one region off from the others and from the store,
 // changes the configuration, and heals the cut.
 func TestRegionsCutApart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 3, 2, 2)
 		alone := func(addr string) bool { return strings.HasPrefix(addr, "m2-") }
 		n.setCut(func(from, to string) bool { return alone(from) != alone(to) })
-		time.Sleep(time.Hour)
+		time.Sleep(2 * keepDead)
 		rev := commit(t, nodes[0], change("c1", "2s"))
 		time.Sleep(inForce)
 		for _, x := range nodes {
@@ -114,8 +109,7 @@
 
 // TestNewcomerWhileStoreIsAway starts an instance during an outage.
 func TestNewcomerWhileStoreIsAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 2, 2, 2)
 		rev := commit(t, nodes[0], change("c1", "2s"))
 		waitUntil(t, "in force", inForce, allAt(nodes, rev))
@@ -130,8 +124,7 @@
 // TestRackFails kills many members of a failure domain at once: all others must
 // agree on exactly those, and no live one may be declared dead.
 func TestRackFails(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 2, 2, 12)
 		dead := make(map[string]bool)
 		var left []*node
@@ -151,7 +144,7 @@
 			}
 			return true
 		})
-		time.Sleep(time.Minute)
+		time.Sleep(quiet)
 		for _, x := range left {
 			all, _ := x.table.All()
 			for _, m := range all {
@@ -167,8 +160,7 @@
 // TestRestartAndReplacement restarts an instance under its name, also with a
 // clock that was set back.
 func TestRestartAndReplacement(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 2, 1, 3)
 		for _, incarnation := range []uint64{5, 2} {
 			n.kill(nodes[1])
@@ -182,8 +174,7 @@
 // TestLeavingIsKnown takes a leaving instance out without waiting for a probe
 // to fail, and never back in.
 func TestLeavingIsKnown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork()
+	simulate(t, func(t *testing.T, n *network) {
 		nodes := grid(t, n, 2, 2, 2)
 		nodes[0].Leave(t.Context())
 		n.kill(nodes[0])
--- a/internal/agent/network_test.go
+++ b/internal/agent/network_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/configlog"
@@ -17,6 +18,15 @@
 	"github.com/loomkeel/loomkeel/internal/tree"
 )
 
+const (
+	// keepDead is how long the dead are remembered in tests.
+	keepDead = time.Minute
+	// linkDelay is how long a call between agents takes.
+	linkDelay = time.Millisecond
+	// quiet is how long a state is watched that should not change.
+	quiet = time.Minute
+)
+
 // network joins agents in memory; it can cut pairs of them apart.
 type network struct {
 	mu     sync.Mutex
@@ -24,10 +34,22 @@
 	cut    func(from, to string) bool
 	store  *standin.Store
 	list   *standin.List
+	ctx    context.Context
 }
 
-func newNetwork() *network {
-	return &network{agents: make(map[string]*Agent), store: standin.NewStore(), list: standin.NewList(nil)}
+// simulate runs a test with a network in virtual time, and ends every agent
+// afterwards.
+func simulate(t *testing.T, test func(t *testing.T, n *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		n := &network{agents: make(map[string]*Agent), store: standin.NewStore(), list: standin.NewList(nil), ctx: ctx}
+		test(t, n)
+		n.setCut(nil)
+		n.store.SetFault(nil)
+		stop()
+		// Calls that were under way run into their timeouts.
+		time.Sleep(time.Minute)
+	})
 }
 
 // setCut installs which messages are lost; nil means none.
@@ -51,7 +73,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	time.Sleep(time.Millisecond)
+	time.Sleep(linkDelay)
 	return a, ctx.Err()
 }
 
@@ -107,12 +129,12 @@
 		Peers:      link{n, id},
 		Rand:       rand.New(rand.NewPCG(uint64(len(id)), hash(id))),
 		Period:     DefaultPeriod,
-		Membership: membership.DefaultConfig(),
+		Membership: membership.Config{SuspectFor: 4 * time.Second, KeepDead: keepDead, Spread: 8},
 	})
 	n.mu.Lock()
 	n.agents[id] = a
 	n.mu.Unlock()
-	ctx, stop := context.WithCancel(t.Context())
+	ctx, stop := context.WithCancel(n.ctx)
 	go a.Run(ctx)
 	return &node{a, stop}
 }
