Measure slopes; keep membership and look-ups cheap at full size

Cause: the membership list was copied and sorted, and its digest hashed anew, several times a period, and an uneven look-up took 5.5 us with a logarithm for each entry; both grow with the fleet.

Change: the table keeps its sorted list and digests as members change; a newcomer takes the whole list without passing it on; look-ups compare plain hashes inside a failure domain and weigh only the winners, and name a second entry of another domain. test/slopes measures bytes, processor time, store calls and memory against size.

--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -14,8 +14,10 @@
 	Plan      fanout.Plan         `json:"fanout"`
 	Members   []membership.Member `json:"members"`
 	Directory model.Directory     `json:"directory"`
-	Processes map[string]string   `json:"processes"`
-	Stats     map[string]int64    `json:"stats"`
+	// Due is how many members are still to be passed on.
+	Due       int               `json:"updates_due"`
+	Processes map[string]string `json:"processes"`
+	Stats     map[string]int64  `json:"stats"`
 }
 
 // Dump returns the agent's state.
@@ -30,6 +32,7 @@
 		Plan:      a.plan(),
 		Members:   members,
 		Directory: list,
+		Due:       a.table.Due(),
 		Processes: a.processStates(),
 		Stats:     a.Counters(),
 	}
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -148,8 +148,7 @@
 	reply, err := a.exchange(ctx, m.Agent, req)
 	if err == nil {
 		a.takeReply(ctx, reply)
-		_, digest := a.table.Digests()
-		return digest == reply.GetDigest(), true
+		return a.table.Digest() == reply.GetDigest(), true
 	}
 	if ctx.Err() != nil || a.relayed(ctx, m) {
 		return false, false
@@ -196,12 +195,11 @@
 }
 
 func (a *Agent) exchangeRequest(updates []membership.Member) *pb.ExchangeRequest {
-	_, digest := a.table.Digests()
 	return &pb.ExchangeRequest{
 		From:      rpc.MemberToProto(a.table.Self()),
 		Revision:  a.log.Revision(),
 		Directory: a.directory.version(),
-		Digest:    digest,
+		Digest:    a.table.Digest(),
 		Updates:   rpc.MembersToProto(updates),
 	}
 }
@@ -217,10 +215,9 @@
 		Updates:   rpc.MembersToProto(a.updatesFor(req)),
 	}
 	reply.Updates = append(reply.Updates, a.doubts(from.ID)...)
-	domains, digest := a.table.Digests()
-	reply.Digest = digest
-	if digest != req.GetDigest() && len(req.GetWant()) > 0 {
-		reply.Domains = digestsToProto(domains)
+	reply.Digest = a.table.Digest()
+	if reply.Digest != req.GetDigest() && len(req.GetWant()) > 0 {
+		reply.Domains = digestsToProto(a.table.DomainDigests())
 	}
 	if records, ok := a.log.Since(req.GetRevision(), maxRecords); ok {
 		reply.Records = rpc.RecordsToProto(records)
@@ -272,9 +269,8 @@
 	if len(want) == 0 {
 		return a.table.Updates(maxUpdates)
 	}
-	all, _ := a.table.All()
-	return slices.DeleteFunc(all, func(m membership.Member) bool {
-		return want[0] != allDomains && !slices.Contains(want, m.Domain)
+	return a.table.Select(func(m membership.Member) bool {
+		return want[0] == allDomains || slices.Contains(want, m.Domain)
 	})
 }
 
@@ -345,7 +341,7 @@
 		return
 	}
 	a.takeReply(ctx, reply)
-	mine, _ := a.table.Digests()
+	mine := a.table.DomainDigests()
 	var want []string
 	for _, d := range reply.GetDomains() {
 		if mine[d.GetDomain()] != d.GetDigest() && len(want) < syncDomains {
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -77,6 +77,8 @@
 	if err != nil {
 		return err
 	}
+	a.table.Learn(time.Now(), rpc.MembersFromProto(reply.GetUpdates()))
+	reply.Updates = nil
 	a.takeReply(ctx, reply)
 	return nil
 }
@@ -115,17 +117,15 @@
 // first.
 func (a *Agent) neighbours() []membership.Member {
 	self := a.table.Self()
-	all, _ := a.table.All()
+	all := a.table.Select(func(m membership.Member) bool { return m.ID != self.ID && m.Live() })
 	a.proberMu.Lock()
 	a.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	a.proberMu.Unlock()
 	var near, far []membership.Member
 	for _, m := range all {
-		switch {
-		case m.ID == self.ID || !m.Live():
-		case m.Region == self.Region:
+		if m.Region == self.Region {
 			near = append(near, m)
-		default:
+		} else {
 			far = append(far, m)
 		}
 	}
--- /dev/null
+++ b/internal/fanout/fanout_test.go
@@ -0,0 +1,74 @@
+package fanout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func ids(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprint("instance-", i)
+	}
+	return out
+}
+
+// TestTreeReachesAll walks the pushes from the readers and checks that each
+// member is reached exactly once, whatever the size.
+func TestTreeReachesAll(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(1)
+	props := gopter.NewProperties(params)
+	props.Property("each member is reached once", prop.ForAll(func(n int) bool {
+		all := ids(n)
+		reached := make(map[string]int)
+		for _, id := range all {
+			p := New("d", id, all)
+			if p.Reader {
+				reached[id]++
+			}
+			if len(p.Children) > Degree || p.Reader != (p.Rank < Readers) {
+				return false
+			}
+			for _, c := range p.Children {
+				reached[c]++
+			}
+		}
+		for _, id := range all {
+			if reached[id] != 1 {
+				return false
+			}
+		}
+		return true
+	}, gen.IntRange(1, 200)))
+	props.TestingRun(t)
+}
+
+func TestOrderIsTheSameForAll(t *testing.T) {
+	a := ids(40)
+	b := slices.Clone(a)
+	slices.Reverse(b)
+	if !slices.Equal(Order("d", a), Order("d", b)) {
+		t.Error("order depends on the order of the ids")
+	}
+}
+
+// TestFailureMovesFew removes a member: only its place in the order is filled.
+func TestFailureMovesFew(t *testing.T) {
+	all := ids(40)
+	order := Order("d", all)
+	without := Order("d", slices.DeleteFunc(slices.Clone(all), func(id string) bool { return id == order[5] }))
+	if !slices.Equal(without, slices.Concat(order[:5], order[6:])) {
+		t.Error("a failure reordered the others")
+	}
+}
+
+func TestSelfIsAlwaysPlaced(t *testing.T) {
+	if p := New("d", "lonely", nil); !p.Reader || len(p.Children) != 0 {
+		t.Errorf("plan of the only member: %+v", p)
+	}
+}
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -72,18 +72,23 @@
 	})
 }
 
-// pick returns a random member other than the own that is in a set.
+// pick returns a random member other than the own that is in a set, by one pass
+// over all (reservoir sampling).
 func (p *Prober) pick(in func(Member) bool) (Member, bool) {
 	self := p.table.Self()
 	all, _ := p.table.All()
-	var out []Member
-	for _, m := range all {
-		if m.ID != self.ID && in(m) {
-			out = append(out, m)
+	at, seen := -1, 0
+	for i := range all {
+		if all[i].ID == self.ID || !in(all[i]) {
+			continue
+		}
+		seen++
+		if p.rnd.IntN(seen) == 0 {
+			at = i
 		}
 	}
-	if len(out) == 0 {
+	if at < 0 {
 		return Member{}, false
 	}
-	return out[p.rnd.IntN(len(out))], true
+	return all[at], true
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -91,15 +92,74 @@
 	self    Member
 	entries map[string]*entry
 	changed chan struct{}
+	// sorted is the list that All returns, nil when it has to be made anew.
+	sorted []Member
+	// digests are the checksums over the live members, by failure domain, and
+	// digest that over all.
+	digests map[string]uint64
+	digest  uint64
+	// due counts the entries that are still to be passed on.
+	due int
 }
 
 // NewTable returns a Table that knows only self.
 func NewTable(self Member, cfg Config) *Table {
-	t := &Table{cfg: cfg, self: self, entries: make(map[string]*entry), changed: make(chan struct{})}
-	t.entries[self.ID] = &entry{Member: self, left: cfg.Spread}
+	t := &Table{
+		cfg:     cfg,
+		self:    self,
+		entries: make(map[string]*entry),
+		changed: make(chan struct{}),
+		digests: make(map[string]uint64),
+	}
+	t.put(entry{Member: self, left: cfg.Spread})
 	return t
 }
 
+// put replaces the entry of a member.
+func (t *Table) put(e entry) {
+	t.drop(e.ID)
+	t.entries[e.ID] = &e
+	t.sum(&e)
+	if e.left > 0 {
+		t.due++
+	}
+}
+
+// drop removes the entry of a member, if there is one.
+func (t *Table) drop(id string) {
+	t.sorted = nil
+	e := t.entries[id]
+	if e == nil {
+		return
+	}
+	t.sum(e)
+	if e.left > 0 {
+		t.due--
+	}
+	delete(t.entries, id)
+}
+
+// sum adds a live member to the digests, or takes it out again.
+func (t *Table) sum(e *entry) {
+	if !e.Live() {
+		return
+	}
+	h := e.hash()
+	t.digest ^= h
+	t.digests[e.Domain] ^= h
+	if t.digests[e.Domain] == 0 {
+		delete(t.digests, e.Domain)
+	}
+}
+
+// setState changes what is believed of a member.
+func (t *Table) setState(now time.Time, e *entry, s State) {
+	next := *e
+	next.State, next.since, next.left = s, now, t.cfg.Spread
+	t.put(next)
+	t.wake()
+}
+
 // Self returns the own member.
 func (t *Table) Self() Member {
 	t.mu.Lock()
@@ -156,7 +216,20 @@
 }
 
 func (t *Table) setSelf(now time.Time) {
-	t.entries[t.self.ID] = &entry{Member: t.self, since: now, left: t.cfg.Spread}
+	t.put(entry{Member: t.self, since: now, left: t.cfg.Spread})
+	t.wake()
+}
+
+// Learn takes in a member list that a peer holds, without passing it on: what is
+// new here is not new to others.
+func (t *Table) Learn(now time.Time, members []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range members {
+		if m.Live() && t.entries[m.ID] == nil {
+			t.put(entry{Member: m, since: now})
+		}
+	}
 	t.wake()
 }
 
@@ -170,14 +243,10 @@
 		// one ever would forget it.
 		return false
 	}
-	if e == nil {
-		t.entries[u.ID] = &entry{Member: u, since: now, left: t.cfg.Spread}
-		return true
-	}
-	if u.Incarnation < e.Incarnation || u.Incarnation == e.Incarnation && u.State <= e.State {
+	if e != nil && (u.Incarnation < e.Incarnation || u.Incarnation == e.Incarnation && u.State <= e.State) {
 		return false
 	}
-	*e = entry{Member: u, since: now, left: t.cfg.Spread}
+	t.put(entry{Member: u, since: now, left: t.cfg.Spread})
 	return true
 }
 
@@ -189,8 +258,7 @@
 	if e == nil || e.State != Alive {
 		return
 	}
-	e.State, e.since, e.left = Suspect, now, t.cfg.Spread
-	t.wake()
+	t.setState(now, e, Suspect)
 }
 
 // Tick declares dead who was suspected for too long, and forgets the dead.
@@ -201,10 +269,9 @@
 		age := now.Sub(e.since)
 		switch {
 		case e.State == Suspect && age >= t.cfg.SuspectFor:
-			e.State, e.since, e.left = Dead, now, t.cfg.Spread
-			t.wake()
+			t.setState(now, e, Dead)
 		case id != t.self.ID && !e.Live() && age >= t.cfg.KeepDead:
-			delete(t.entries, id)
+			t.drop(id)
 		}
 	}
 }
@@ -235,6 +302,9 @@
 func (t *Table) Updates(limit int) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.due == 0 {
+		return nil
+	}
 	var due []*entry
 	for _, e := range t.entries {
 		if e.left > 0 {
@@ -247,29 +317,56 @@
 	var out []Member
 	for _, e := range due[:min(limit, len(due))] {
 		e.left--
+		if e.left == 0 {
+			t.due--
+		}
 		out = append(out, e.Member)
 	}
 	return out
 }
 
+// Due returns how many members are still to be passed on.
+func (t *Table) Due() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.due
+}
+
 // All returns every member, the dead ones too, in order of their ids, and a
-// channel that closes when one changes.
+// channel that closes when one changes. The caller must not change the slice.
 func (t *Table) All() ([]Member, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]Member, 0, len(t.entries))
+	return t.all(), t.changed
+}
+
+func (t *Table) all() []Member {
+	if t.sorted != nil {
+		return t.sorted
+	}
+	t.sorted = make([]Member, 0, len(t.entries))
 	for _, e := range t.entries {
-		out = append(out, e.Member)
+		t.sorted = append(t.sorted, e.Member)
 	}
-	slices.SortFunc(out, byID)
-	return out, t.changed
+	slices.SortFunc(t.sorted, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return t.sorted
 }
 
-// Domain returns the members of a failure domain, the dead ones too, in order
-// of their ids.
-func (t *Table) Domain(domain string) []Member {
+// Select returns the members for which in is true, in order of their ids.
+func (t *Table) Select(in func(Member) bool) []Member {
 	all, _ := t.All()
-	return slices.DeleteFunc(all, func(m Member) bool { return m.Domain != domain })
+	var out []Member
+	for i := range all {
+		if in(all[i]) {
+			out = append(out, all[i])
+		}
+	}
+	return out
+}
+
+// Domain returns the members of a failure domain, the dead ones too.
+func (t *Table) Domain(domain string) []Member {
+	return t.Select(func(m Member) bool { return m.Domain == domain })
 }
 
 // minScope is the fewest peers that watch over each other; a failure domain with
@@ -280,16 +377,9 @@
 // each other counts.
 func (t *Table) Scope() []Member {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	in := t.scopeFilter()
-	var peers []Member
-	for _, e := range t.entries {
-		if e.ID != t.self.ID && e.Live() && in(e.Member) {
-			peers = append(peers, e.Member)
-		}
-	}
-	slices.SortFunc(peers, byID)
-	return peers
+	in, self := t.scopeFilter(), t.self.ID
+	t.mu.Unlock()
+	return t.Select(func(m Member) bool { return m.ID != self && m.Live() && in(m) })
 }
 
 // scopeFilter returns the smallest of domain, region and all that holds enough
@@ -319,11 +409,9 @@
 	return func(Member) bool { return true }
 }
 
-// Lost returns the members that are believed to have failed without a farewell,
-// in order of their ids.
+// Lost returns the members that are believed to have failed without a farewell.
 func (t *Table) Lost() []Member {
-	all, _ := t.All()
-	return slices.DeleteFunc(all, func(m Member) bool { return m.State != Dead })
+	return t.Select(func(m Member) bool { return m.State == Dead })
 }
 
 // Get returns one member.
@@ -337,27 +425,22 @@
 	return e.Member, true
 }
 
-func byID(a, b Member) int { return cmp.Compare(a.ID, b.ID) }
+// Digest returns a checksum over the live members, which is equal at two tables
+// that believe the same.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest
+}
 
-// Digests returns a checksum over the live members of each failure domain and
-// one over all. They are equal at two tables that believe the same.
-func (t *Table) Digests() (map[string]uint64, uint64) {
+// DomainDigests returns a checksum over the live members of each failure domain.
+func (t *Table) DomainDigests() map[string]uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	domains := make(map[string]uint64)
-	var all uint64
-	for _, e := range t.entries {
-		if !e.Live() {
-			continue
-		}
-		h := e.digest()
-		domains[e.Domain] ^= h
-		all ^= h
-	}
-	return domains, all
+	return maps.Clone(t.digests)
 }
 
-func (e *entry) digest() uint64 {
+func (e *entry) hash() uint64 {
 	var d xxhash.Digest
 	_, _ = d.WriteString(e.ID)
 	_, _ = d.Write([]byte{0, byte(e.State)})
--- a/internal/route/lookup.go
+++ b/internal/route/lookup.go
@@ -39,11 +39,18 @@
 	Revision uint64
 }
 
-type region struct {
-	name    string
+// group is the entries of one failure domain, which have one weight.
+type group struct {
+	domain  string
+	weight  float64
 	entries []Entry
 }
 
+type region struct {
+	name   string
+	groups []group
+}
+
 // Table answers look-ups. It is immutable.
 type Table struct {
 	blocks   *Blocks
@@ -91,7 +98,18 @@
 		r = &region{name: m.Region}
 		t.regions[m.Region] = r
 	}
-	r.entries = append(r.entries, Entry{m.ID, m.Entry, m.Region, weight, xxhash.Sum64String(m.ID)})
+	g := r.group(m.Domain, weight)
+	g.entries = append(g.entries, Entry{m.ID, m.Entry, m.Region, weight, xxhash.Sum64String(m.ID)})
+}
+
+func (r *region) group(domain string, weight float64) *group {
+	for i := range r.groups {
+		if r.groups[i].domain == domain {
+			return &r.groups[i]
+		}
+	}
+	r.groups = append(r.groups, group{domain: domain, weight: weight})
+	return &r.groups[len(r.groups)-1]
 }
 
 // Knows reports whether a service exists.
@@ -143,29 +161,49 @@
 	return false
 }
 
-// best returns the two entries with the highest weighted rendezvous scores.
+// best returns the entry with the highest weighted rendezvous score, and the
+// best one of another failure domain, so that the two seldom fail together. In a
+// region of one failure domain the second is the next best there.
+//
+// The score is -weight/ln(u) for u uniform in (0,1), which picks each entry in
+// proportion to its weight (Schindelhauer and Schomaker, 2005). Inside a group,
+// where weights are equal, u itself gives the same order without a logarithm.
 func (r *region) best(key uint64) (first, second *Entry) {
-	var top, next float64 = math.Inf(-1), math.Inf(-1)
-	for i := range r.entries {
-		e := &r.entries[i]
-		s := score(key, e)
+	top, next := math.Inf(-1), math.Inf(-1)
+	var runnerUp *Entry
+	for i := range r.groups {
+		a, b, u := r.groups[i].best(key)
+		s := -r.groups[i].weight / math.Log(u)
 		switch {
 		case s > top:
 			second, next = first, top
-			first, top = e, s
+			first, top, runnerUp = a, s, b
 		case s > next:
-			second, next = e, s
+			second, next = a, s
 		}
 	}
+	if second == nil {
+		second = runnerUp
+	}
 	return first, second
 }
 
-// score is -weight/ln(u) for u uniform in (0,1), which picks each entry in
-// proportion to its weight (Schindelhauer and Schomaker, 2005).
-func score(key uint64, e *Entry) float64 {
-	h := mix(key ^ e.hash)
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -e.Weight / math.Log(u)
+// best returns the two entries with the largest hashes, and the largest as a
+// number in (0,1).
+func (g *group) best(key uint64) (first, second *Entry, u float64) {
+	var top, next uint64
+	for i := range g.entries {
+		e := &g.entries[i]
+		h := mix(key ^ e.hash)
+		switch {
+		case first == nil || h > top:
+			second, next = first, top
+			first, top = e, h
+		case second == nil || h > next:
+			second, next = e, h
+		}
+	}
+	return first, second, (float64(top>>11) + 0.5) / (1 << 53)
 }
 
 // mix is the finalizer of SplitMix64.
@@ -206,7 +244,9 @@
 func (t *Table) Dump() TableDump {
 	d := TableDump{Revision: t.revision, Blocks: t.blocks.Len(), Regions: t.order, Entries: make(map[string][]Entry)}
 	for name, r := range t.regions {
-		d.Entries[name] = r.entries
+		for _, g := range r.groups {
+			d.Entries[name] = append(d.Entries[name], g.entries...)
+		}
 	}
 	return d
 }
--- /dev/null
+++ b/test/slopes/fleet.go
@@ -0,0 +1,295 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/agent"
+	"github.com/loomkeel/loomkeel/internal/configlog"
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/platform"
+	"github.com/loomkeel/loomkeel/internal/rpc"
+	"github.com/loomkeel/loomkeel/internal/standin"
+	"github.com/loomkeel/loomkeel/internal/tree"
+)
+
+// member is one agent of the measured fleet.
+type member struct {
+	*agent.Agent
+	traffic *rpc.Traffic
+	dialer  *rpc.Dialer
+}
+
+// cluster is a fleet of agents in this process.
+type cluster struct {
+	members []*member
+	store   *standin.Store
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func measureFleets(ctx context.Context, c *cli.Command) error {
+	klog.SetOutput(nil)
+	klog.LogToStderr(false)
+	fmt.Println("machine:", machine())
+	fmt.Println("agents domains | idle: B/s/agent cpu%/agent store/s | role B/s idle | per change: B/agent cpu_us/agent store calls | in force p50 p99 max")
+	for _, n := range c.IntSlice("agents") {
+		if err := measureFleet(ctx, c, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// usage is what a fleet has spent.
+type usage struct {
+	at    time.Time
+	cpu   time.Duration
+	bytes map[string][]int64
+	calls int64
+}
+
+func (c *cluster) usage() usage {
+	u := usage{at: time.Now(), cpu: cpuTime(), bytes: make(map[string][]int64)}
+	for _, m := range c.members {
+		u.bytes["all"] = append(u.bytes["all"], m.traffic.Sent.Load()+m.traffic.Received.Load())
+	}
+	for _, op := range []standin.Op{standin.OpGet, standin.OpSwap, standin.OpWatch} {
+		u.calls += c.store.Calls(op)
+	}
+	return u
+}
+
+func cpuTime() time.Duration {
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+func measureFleet(ctx context.Context, c *cli.Command, n int) error {
+	f, err := start(ctx, n, c.Int("per-domain"))
+	if err != nil {
+		return err
+	}
+	defer f.end()
+	if err := f.settle(n); err != nil {
+		return err
+	}
+	f.addGhosts(c.Int("ghosts"), c.Int("per-domain"))
+	before := f.usage()
+	time.Sleep(c.Duration("idle"))
+	idle := f.usage()
+	times, err := f.changes(c.Int("changes"), c.Duration("gap"))
+	if err != nil {
+		return err
+	}
+	after := f.usage()
+	f.print(n, c.Int("changes"), before, idle, after, times)
+	return nil
+}
+
+// print writes one row. What the changes cost is what was spent beyond the
+// idle rate.
+func (c *cluster) print(n, changes int, before, idle, after usage, times []time.Duration) {
+	idleFor, busyFor := idle.at.Sub(before.at).Seconds(), after.at.Sub(idle.at).Seconds()
+	idleBytes := float64(sum(idle.bytes["all"])-sum(before.bytes["all"])) / idleFor
+	busyBytes := float64(sum(after.bytes["all"]) - sum(idle.bytes["all"]))
+	idleCPU := (idle.cpu - before.cpu).Seconds() / idleFor
+	busyCPU := (after.cpu - idle.cpu).Seconds()
+	idleCalls := float64(idle.calls-before.calls) / idleFor
+	busyCalls := float64(after.calls - idle.calls)
+	domains := make(map[string]bool)
+	for _, m := range c.members {
+		domains[m.Table().Self().Domain] = true
+	}
+	fmt.Printf("%6d %7d | %8.0f %8.3f %8.1f | %s | %8.0f %8.1f %6.1f | %v %v %v\n",
+		n, len(domains), idleBytes/float64(n), 100*idleCPU/float64(n), idleCalls, c.roles(before, idle, idleFor),
+		(busyBytes-idleBytes*busyFor)/float64(n*changes),
+		1e6*(busyCPU-idleCPU*busyFor)/float64(n*changes),
+		(busyCalls-idleCalls*busyFor)/float64(changes),
+		quantile(times, 0.5), quantile(times, 0.99), quantile(times, 1))
+}
+
+// roles returns the mean bytes per second by role while idle.
+func (c *cluster) roles(before, idle usage, seconds float64) string {
+	total, count := make(map[string]int64), make(map[string]int64)
+	for i, m := range c.members {
+		role := roleOf(m)
+		total[role] += idle.bytes["all"][i] - before.bytes["all"][i]
+		count[role]++
+	}
+	s := ""
+	for _, role := range []string{"reader", "inner", "leaf"} {
+		if count[role] > 0 {
+			s += fmt.Sprintf("%s %.0f ", role, float64(total[role])/float64(count[role])/seconds)
+		}
+	}
+	return s
+}
+
+func roleOf(m *member) string {
+	p := m.Dump().Plan
+	switch {
+	case p.Reader:
+		return "reader"
+	case len(p.Children) > 0:
+		return "inner"
+	}
+	return "leaf"
+}
+
+func sum(xs []int64) int64 {
+	var s int64
+	for _, x := range xs {
+		s += x
+	}
+	return s
+}
+
+func quantile(ds []time.Duration, q float64) time.Duration {
+	slices.Sort(ds)
+	return ds[int(q*float64(len(ds)-1))].Round(time.Millisecond)
+}
+
+// start runs n agents that all know the first.
+func start(ctx context.Context, n, perDomain int) (*cluster, error) {
+	ctx, stop := context.WithCancel(ctx)
+	c := &cluster{store: standin.NewStore(), stop: stop}
+	list := standin.NewList(nil)
+	var seed string
+	for i := range n {
+		m, err := c.startAgent(ctx, i, perDomain, seed, list)
+		if err != nil {
+			stop()
+			return nil, err
+		}
+		if i == 0 {
+			seed = m.Table().Self().Agent
+		}
+		c.members = append(c.members, m)
+	}
+	return c, nil
+}
+
+func (c *cluster) startAgent(ctx context.Context, i, perDomain int, seed string, list platform.Lister) (*member, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	traffic := new(rpc.Traffic)
+	dialer := rpc.NewDialer(nil, traffic)
+	domain := fmt.Sprintf("domain-%d", i/perDomain)
+	a := agent.New(agent.Options{
+		Self: membership.Member{
+			ID: fmt.Sprintf("instance-%d", i), Region: fmt.Sprintf("region-%d", i/perDomain/2), Domain: domain,
+			Agent: lis.Addr().String(), Entry: "127.0.0.1:8000", Director: "127.0.0.1:8001",
+		},
+		Seeds:      []string{seed},
+		Store:      c.store,
+		List:       list,
+		Peers:      rpc.NewPeers(dialer),
+		Rand:       rand.New(rand.NewPCG(uint64(i), 7)),
+		Period:     agent.DefaultPeriod,
+		Membership: membership.DefaultConfig(),
+	})
+	mux, err := rpc.NewMux(a)
+	if err != nil {
+		return nil, err
+	}
+	c.done.Go(func() { _ = rpc.Serve(ctx, lis, mux, traffic) })
+	c.done.Go(func() { a.Run(ctx) })
+	return &member{a, traffic, dialer}, nil
+}
+
+func (c *cluster) end() {
+	c.stop()
+	for _, m := range c.members {
+		_ = m.dialer.Close()
+	}
+	c.done.Wait()
+}
+
+// settleLimit bounds the wait for all agents to know each other.
+const settleLimit = 2 * time.Minute
+
+// settle waits until every agent knows every other, and a little longer until
+// the talk about it has died down.
+func (c *cluster) settle(n int) error {
+	deadline := time.Now().Add(settleLimit)
+	for {
+		all := true
+		for _, m := range c.members {
+			members, _ := m.Table().All()
+			all = all && len(members) == n
+		}
+		if all {
+			break
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("the agents do not know each other after %v", settleLimit)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, m := range c.members {
+		for m.Table().Due() > 0 {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// addGhosts makes every agent believe in n more members, which stand in failure
+// domains of their own and answer at the addresses of the real ones. The tables
+// and what is worked out from them then have the size of a large fleet.
+func (c *cluster) addGhosts(n, perDomain int) {
+	var ghosts []membership.Member
+	for i := range n {
+		addr := c.members[i%len(c.members)].Table().Self().Agent
+		ghosts = append(ghosts, membership.Member{
+			ID: fmt.Sprintf("ghost-%d", i), Incarnation: 1, State: membership.Alive,
+			Region: fmt.Sprintf("ghost-region-%d", i/perDomain/2), Domain: fmt.Sprintf("ghost-domain-%d", i/perDomain),
+			Agent: addr, Entry: "127.0.0.1:8000", Director: "127.0.0.1:8001",
+		})
+	}
+	for _, m := range c.members {
+		m.Table().Learn(time.Now(), ghosts)
+	}
+}
+
+// changes commits changes one after the other at random agents and returns the
+// time from each acceptance to its being in force at all agents.
+func (c *cluster) changes(n int, gap time.Duration) ([]time.Duration, error) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var times []time.Duration
+	for i := range n {
+		at := c.members[rnd.IntN(len(c.members))]
+		r := at.Commit(context.Background(), configlog.Change{
+			ID: fmt.Sprintf("change-%d-%d", len(c.members), i), Author: "operator@example.org", Note: "maintenance window",
+			Edits: []tree.Edit{
+				{Path: fmt.Sprintf("/services/s%d/regions/muscat", i%40), Key: tree.KeyDeadline, Value: "2s"},
+				{Path: fmt.Sprintf("/services/s%d/regions/muscat", i%40), Key: tree.KeyPriority, Value: "4"},
+			},
+		})
+		if r.Outcome != configlog.Accepted {
+			return nil, fmt.Errorf("change %d: %+v", i, r)
+		}
+		accepted := time.Now()
+		for _, m := range c.members {
+			for m.Log().Revision() < r.Revision {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		times = append(times, time.Since(accepted))
+		time.Sleep(gap)
+	}
+	return times, nil
+}
--- /dev/null
+++ b/test/slopes/main.go
@@ -0,0 +1,44 @@
+// Command slopes measures what the parts of loomkeel cost against their size:
+// bytes, processor time, memory and store calls. docs/CAPACITY.md is worked out
+// from what it prints.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "slopes",
+		Usage: "measure costs against size",
+		Commands: []*cli.Command{
+			{
+				Name:  "fleet",
+				Usage: "agents on loopback in this process: bytes, processor time, store calls, time in force",
+				Flags: []cli.Flag{
+					&cli.IntSliceFlag{Name: "agents", Value: []int{25, 50, 100, 200}, Usage: "fleet sizes"},
+					&cli.IntFlag{Name: "per-domain", Value: 32, Usage: "agents in a failure domain"},
+					&cli.IntFlag{Name: "ghosts", Usage: "members that every agent believes in besides, for tables of full size"},
+					&cli.IntFlag{Name: "changes", Value: 40, Usage: "configuration changes"},
+					&cli.DurationFlag{Name: "idle", Value: 10e9, Usage: "time without changes"},
+					&cli.DurationFlag{Name: "gap", Value: 250e6, Usage: "time between changes"},
+				},
+				Action: measureFleets,
+			},
+			{Name: "memory", Usage: "bytes of memory per block, upstream, member and path", Action: measureMemory},
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "slopes:", err)
+		os.Exit(1)
+	}
+}
+
+func machine() string {
+	return fmt.Sprintf("%s, %s/%s, %d processors", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+}
