Test the carrier against upstreams that fail in every way

Cause: nothing showed that the carrier keeps its promises when upstreams die, cut answers, shed, hang or mix answers up.

--- /dev/null
+++ b/internal/forward/fake_test.go
@@ -0,0 +1,241 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/tree"
+)
+
+// behaviour is what a fake upstream does with one request.
+type behaviour int
+
+const (
+	answers behaviour = iota
+	// sheds answers 429 without running the request.
+	sheds
+	// diesUnread closes without reading.
+	diesUnread
+	// diesRead reads the whole request, which counts as running it, and closes.
+	diesRead
+	// cuts runs the request and closes in the middle of the answer.
+	cuts
+	// cutsChunks runs the request and closes between two chunks of the answer.
+	cutsChunks
+	// unframed runs the request and ends the answer with the connection.
+	unframed
+	// mixesUp runs the request and answers under another request's id.
+	mixesUp
+	// hangs runs the request and answers nothing until the client leaves.
+	hangs
+	behaviourCount
+)
+
+// receipt is a request that a fake upstream has read whole.
+type receipt struct {
+	id, path, body string
+	header         http.Header
+}
+
+// fake is an upstream on a raw listener, so that it can break off anywhere.
+type fake struct {
+	lis  net.Listener
+	mu   sync.Mutex
+	next []behaviour
+	got  []receipt
+	// left receives a value when a client closes the connection of a hanging
+	// request.
+	left chan struct{}
+}
+
+func newFake(t testing.TB, next ...behaviour) *fake {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fake{lis: lis, next: next, left: make(chan struct{}, 16)}
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c)
+		}
+	}()
+	return f
+}
+
+func (f *fake) behave() behaviour {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.next) == 0 {
+		return answers
+	}
+	b := f.next[0]
+	f.next = f.next[1:]
+	return b
+}
+
+func (f *fake) receipts() []receipt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]receipt(nil), f.got...)
+}
+
+func (f *fake) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		b := f.behave()
+		if b == diesUnread {
+			return
+		}
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get(HeaderRequestID)
+		if b != sheds {
+			f.mu.Lock()
+			f.got = append(f.got, receipt{id, req.URL.RequestURI(), string(body), req.Header})
+			f.mu.Unlock()
+		}
+		if !f.reply(c, r, b, id) {
+			return
+		}
+	}
+}
+
+// reply answers in the way of a behaviour, and reports whether the connection
+// goes on.
+func (f *fake) reply(c net.Conn, r *bufio.Reader, b behaviour, id string) bool {
+	switch b {
+	case diesRead:
+		return false
+	case sheds:
+		fmt.Fprintf(c, "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case cuts:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of the")
+		return false
+	case cutsChunks:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+		return false
+	case unframed:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\nwho knows")
+		return false
+	case mixesUp:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: of-another\r\nContent-Length: 7\r\n\r\nanother", HeaderRequestID)
+		return true
+	case hangs:
+		_, _ = r.ReadByte()
+		f.left <- struct{}{}
+		return false
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\nanswer to %s", HeaderRequestID, id, len("answer to ")+len(id), id)
+	return true
+}
+
+// entry is a Carrier behind a real server, in front of fakes.
+type entry struct {
+	*Carrier
+	url string
+}
+
+func newEntry(t testing.TB, fakes []*fake, edits ...tree.Edit) *entry {
+	t.Helper()
+	n := 0
+	var mu sync.Mutex
+	c := New(Options{
+		Room: 100,
+		Now:  time.Now,
+		NewID: func() string {
+			mu.Lock()
+			defer mu.Unlock()
+			n++
+			return fmt.Sprint("own-", n)
+		},
+		Observe: func(Outcome) {},
+	})
+	in := model.Input{Region: "muscat", Revision: 1, Tree: new(tree.Tree).Apply(edits, 1)}
+	in.Members = []membership.Member{{ID: "n1", State: membership.Alive, Region: "muscat", Entry: "10.0.0.1:80"}}
+	for i, f := range fakes {
+		in.Directory.Upstreams = append(in.Directory.Upstreams, model.Upstream{
+			ID: fmt.Sprint("u", i), Service: "orders", Region: "muscat", Domain: "a", Address: f.lis.Addr().String(), Slots: 4,
+		})
+	}
+	c.Update(model.Compile(in))
+	srv := httptest.NewServer(c)
+	t.Cleanup(srv.Close)
+	return &entry{c, srv.URL}
+}
+
+// told is what the caller got.
+type told struct {
+	status  int
+	body    string
+	header  http.Header
+	bodyErr error
+}
+
+// send sends a request and reads its answer.
+func (e *entry) send(t testing.TB, method, path, body string, header ...string) told {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, e.url+path, bodyOf(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(HeaderService, "orders")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return told{bodyErr: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return told{resp.StatusCode, string(b), resp.Header, err}
+}
+
+func bodyOf(s string) io.Reader {
+	if s == "" {
+		return nil
+	}
+	// Not a strings.Reader, so that the test's own client cannot repeat it.
+	return io.MultiReader(newString(s))
+}
+
+type stringReader struct{ s string }
+
+func newString(s string) *stringReader { return &stringReader{s} }
+
+func (r *stringReader) Read(p []byte) (int, error) {
+	if r.s == "" {
+		return 0, io.EOF
+	}
+	n := copy(p, r.s)
+	r.s = r.s[n:]
+	return n, nil
+}
