Prove the promises on real processes; mend status and rumours

Cause: nothing was proved on processes that are killed and frozen. The first run of the proofs failed in all: loomkeelctl status could not read a member's state, which was written as text but had no way back. A third failure was the test fleet's own: its ports came from the kernel's range for clients, and one was taken.

Change: State reads its text; only readers and the committing agent pass records on to other failure domains; the fleet's ports come from below that range.

--- a/cmd/loomkeel-standin/main.go
+++ b/cmd/loomkeel-standin/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"time"
 
@@ -37,6 +38,8 @@
 				Usage: "serve all upstreams of an instance list",
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "instances", Usage: "JSON `FILE` with the instance list", Required: true},
+					&cli.StringFlag{Name: "region", Usage: "only those of this `REGION`"},
+					&cli.StringFlag{Name: "record", Usage: "`FILE` that gets a line for each run"},
 					&cli.DurationFlag{Name: "work", Value: 5 * time.Millisecond, Usage: "how long a request takes"},
 				},
 				Action: runUpstreams,
@@ -82,11 +85,21 @@
 	if err != nil {
 		return err
 	}
+	record, err := openRecord(c.String("record"))
+	if err != nil {
+		return err
+	}
+	gauges := make(map[string]*standin.Gauge)
 	for _, i := range list {
-		if i.Kind != platform.KindUpstream {
+		if i.Kind != platform.KindUpstream || c.String("region") != "" && i.Region != c.String("region") {
 			continue
 		}
+		group := i.Service + " " + i.Region
+		if gauges[group] == nil {
+			gauges[group] = new(standin.Gauge)
+		}
 		u := standin.NewUpstream(i.ID, i.Slots, c.Duration("work"))
+		u.Record, u.Gauge = record, gauges[group]
 		srv, err := process.Listen(i.Address, u.Handler())
 		if err != nil {
 			return err
@@ -96,3 +109,12 @@
 	<-ctx.Done()
 	return nil
 }
+
+// openRecord returns nil for no file. Each line goes out in one write, so that
+// several processes can share a file.
+func openRecord(file string) (io.Writer, error) {
+	if file == "" {
+		return nil, nil
+	}
+	return os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,8 +66,9 @@
 	prober   *membership.Prober
 	rnd      *rand.Rand
 
-	// rumor is set when a record came from a peer or an operator rather than
-	// from the store, so that it is passed on to other failure domains too.
+	// rumor is set when a record came from an operator, or at a reader from a
+	// peer rather than from the store, so that it is passed on to other failure
+	// domains too.
 	rumor   atomic.Bool
 	pulling atomic.Bool
 	// serving counts the snapshots being handed to peers.
@@ -193,23 +194,24 @@
 // apply takes in records that came from a peer. It reports false if some are
 // missing before them.
 func (a *Agent) apply(ms []*pb.Record, from string) bool {
-	whole := true
+	whole, applied := true, 0
 	for _, m := range ms {
 		rec, err := configlog.FromProto(m)
 		if err != nil {
 			a.stats.RecordsRefused.Add(1)
 			klog.ErrorS(err, "record refused", "from", from)
-			return true
+			break
 		}
 		n, err := a.log.Append(rec)
-		a.stats.RecordsApplied.Add(int64(n))
-		if n > 0 {
-			a.rumor.Store(true)
-		}
+		applied += n
 		if err != nil {
 			whole = false
 			break
 		}
 	}
+	a.stats.RecordsApplied.Add(int64(applied))
+	if applied > 0 && a.plan().Reader {
+		a.rumor.Store(true)
+	}
 	return whole
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -45,6 +46,16 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(stateNames[:], string(text))
+	if i < int(Alive) {
+		return fmt.Errorf("membership: state %q, allowed are %v", text, stateNames[Alive:])
+	}
+	*s = State(i)
+	return nil
+}
+
 // Member is one instance.
 type Member struct {
 	ID          string `json:"id"`
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+func TestStateText(t *testing.T) {
+	for s := Alive; s <= Dead; s++ {
+		text, _ := s.MarshalText()
+		var got State
+		if err := got.UnmarshalText(text); err != nil || got != s {
+			t.Errorf("%s read back as %v, %v", text, got, err)
+		}
+	}
+	if new(State).UnmarshalText(nil) == nil || new(State).UnmarshalText([]byte("asleep")) == nil {
+		t.Error("a state that is none was read")
+	}
+}
+
 func TestRefute(t *testing.T) {
 	table := NewTable(member("a", 5, Alive), DefaultConfig())
 	table.Merge(start, member("b", 1, Alive), member("a", 5, Suspect))
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -16,9 +16,10 @@
 
 // Run is one request that an upstream executed.
 type Run struct {
-	ID     string `json:"id"`
-	Method string `json:"method"`
-	Path   string `json:"path"`
+	Upstream string `json:"upstream"`
+	ID       string `json:"id"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
 	// Bytes is the length of the request's body.
 	Bytes int64     `json:"bytes"`
 	At    time.Time `json:"at"`
@@ -34,6 +35,12 @@
 	// Work is how long one request takes.
 	Work time.Duration
 
+	// Record, if set, gets a line for each run before the answer, so that it
+	// outlives the process.
+	Record io.Writer
+	// Gauge, if set, is shared by the upstreams of a region.
+	Gauge *Gauge
+
 	mu       sync.Mutex
 	inFlight int
 	runs     []Run
@@ -41,6 +48,32 @@
 	slots    chan struct{}
 }
 
+// Gauge counts the requests in flight at several upstreams and their peak.
+type Gauge struct {
+	mu        sync.Mutex
+	now, peak int
+}
+
+func (g *Gauge) add(n int) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now += n
+	g.peak = max(g.peak, g.now)
+}
+
+// Peak returns the largest number of requests in flight at one time.
+func (g *Gauge) Peak() int {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peak
+}
+
 // Modes of an upstream.
 const (
 	ModeNormal = "normal"
@@ -80,6 +113,7 @@
 func (u *Upstream) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/-/runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(u.Runs()) })
+	r.Get("/-/peak", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, u.Gauge.Peak()) })
 	r.Post("/-/mode/{mode}", func(_ http.ResponseWriter, req *http.Request) { u.SetMode(chi.URLParam(req, "mode")) })
 	r.HandleFunc("/*", u.serve)
 	return r
@@ -104,7 +138,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	u.record(Run{ID: r.Header.Get(forward.HeaderRequestID), Method: r.Method, Path: r.URL.Path, Bytes: n, At: time.Now()})
+	u.record(Run{Upstream: u.ID, ID: r.Header.Get(forward.HeaderRequestID), Method: r.Method, Path: r.URL.Path, Bytes: n, At: time.Now()})
 	u.answer(w, r, mode)
 }
 
@@ -126,7 +160,7 @@
 		w.Header().Set(forward.HeaderRequestID, id)
 	}
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
-	body := fmt.Sprintf("%s answered %s %s\n", u.ID, r.Method, r.URL.Path)
+	body := fmt.Sprintf("%s answered %s %s for %s\n", u.ID, r.Method, r.URL.Path, r.Header.Get(forward.HeaderRequestID))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)+size))
 	_, _ = io.WriteString(w, body)
 	if mode == ModeCut {
@@ -152,6 +186,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight++
+	u.Gauge.add(1)
 	return u.mode
 }
 
@@ -159,10 +194,14 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight--
+	u.Gauge.add(-1)
 }
 
 func (u *Upstream) record(r Run) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs = append(u.runs, r)
+	if u.Record != nil {
+		_ = json.NewEncoder(u.Record).Encode(r)
+	}
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/platform"
@@ -23,6 +24,9 @@
 	Groups []Group
 	// Work is how long a request takes at an upstream.
 	Work time.Duration
+	// Relays puts a relay between each node and the platform, and between the
+	// entries and each upstream.
+	Relays bool
 	// Linger is how long a stopping entry still takes requests.
 	Linger time.Duration
 }
@@ -47,14 +51,19 @@
 	Platform  string
 	Nodes     map[string]Addresses
 	Upstreams []platform.Instance
-	bin, dir  string
-	procs     map[string]*Proc
+	// PlatformRelays are those of the nodes, UpstreamRelays those of the
+	// upstreams, by id; empty without Spec.Relays.
+	PlatformRelays, UpstreamRelays map[string]*Relay
+
+	bin, dir string
+	procs    map[string]*Proc
 }
 
 // New lays out a deployment: it takes addresses and writes the files. Bin is
 // the directory of the binaries, dir one for settings and logs.
 func New(bin, dir string, spec Spec) (*Fleet, error) {
 	f := &Fleet{Spec: spec, bin: bin, dir: dir, Nodes: make(map[string]Addresses), procs: make(map[string]*Proc)}
+	f.PlatformRelays, f.UpstreamRelays = make(map[string]*Relay), make(map[string]*Relay)
 	ports, err := freePorts(1 + 6*len(spec.Nodes) + countUpstreams(spec))
 	if err != nil {
 		return nil, err
@@ -66,11 +75,13 @@
 	}
 	f.Platform = next()
 	instances := f.layOut(next)
-	body, err := json.MarshalIndent(instances, "", "  ")
-	if err != nil {
+	if err := f.writeList("upstreams.json", instances); err != nil {
+		return nil, err
+	}
+	if err := f.addRelays(instances); err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(f.path("instances.json"), body, 0o600); err != nil {
+	if err := f.writeList("instances.json", instances); err != nil {
 		return nil, err
 	}
 	for _, n := range spec.Nodes {
@@ -81,6 +92,48 @@
 	return f, nil
 }
 
+func (f *Fleet) writeList(name string, instances []platform.Instance) error {
+	body, err := json.MarshalIndent(instances, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.path(name), body, 0o600)
+}
+
+// addRelays puts the relays' addresses into the instance list.
+func (f *Fleet) addRelays(instances []platform.Instance) error {
+	if !f.Spec.Relays {
+		return nil
+	}
+	for _, n := range f.Spec.Nodes {
+		r, err := NewRelay(f.Platform)
+		if err != nil {
+			return err
+		}
+		f.PlatformRelays[n.ID] = r
+	}
+	for i := range instances {
+		if instances[i].Kind != platform.KindUpstream {
+			continue
+		}
+		r, err := NewRelay(instances[i].Address)
+		if err != nil {
+			return err
+		}
+		f.UpstreamRelays[instances[i].ID] = r
+		instances[i].Address = r.Addr()
+	}
+	return nil
+}
+
+// platformFor returns the platform's address as a node reaches it.
+func (f *Fleet) platformFor(node string) string {
+	if r := f.PlatformRelays[node]; r != nil {
+		return r.Addr()
+	}
+	return f.Platform
+}
+
 func countUpstreams(s Spec) int {
 	n := 0
 	for _, g := range s.Groups {
@@ -117,7 +170,7 @@
 	a := f.Nodes[n.ID]
 	var b strings.Builder
 	fmt.Fprintf(&b, "[instance]\nid = %s\nregion = %s\ndomain = %s\n\n", n.ID, n.Region, n.Domain)
-	fmt.Fprintf(&b, "[platform]\naddress = http://%s\ntimeout = 1s\n\n", f.Platform)
+	fmt.Fprintf(&b, "[platform]\naddress = http://%s\ntimeout = 1s\n\n", f.platformFor(n.ID))
 	fmt.Fprintf(&b, "[agent]\npeer = %s\noperator = %s\nseeds = %s\n\n", a.Peer, a.Operator, f.seeds())
 	fmt.Fprintf(&b, "[director]\nlisten = %s\ndebug = %s\n\n", a.Director, a.DirectorDebug)
 	fmt.Fprintf(&b, "[entry]\nlisten = %s\ndebug = %s\nlinger = %s\n", a.Entry, a.EntryDebug, f.Spec.Linger)
@@ -132,22 +185,33 @@
 	return strings.Join(seeds, ", ")
 }
 
-// freePorts returns ports that were free a moment ago.
+const (
+	// Ports come from below the range that the kernel takes client ports from,
+	// so that no connection can take one before its process listens.
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+// nextPort is where the search for the next free port begins. It starts at a
+// place of this process's own, so that fleets of several processes do not meet.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 331) }
+
+// freePorts returns ports on which nobody listens.
 func freePorts(n int) ([]int, error) {
 	var ports []int
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			l.Close()
+	for tries := 0; len(ports) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, fmt.Errorf("fleet: no free ports from %d to %d", firstPort, lastPort)
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		held = append(held, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		l.Close()
+		ports = append(ports, port)
 	}
 	return ports, nil
 }
--- a/test/fleet/proc.go
+++ b/test/fleet/proc.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -72,11 +73,13 @@
 	return f.waitFor("http://" + f.Platform + "/calls")
 }
 
-// StartUpstreams starts the stand-ins of all upstreams.
+// StartUpstreams starts the stand-ins of all upstreams, a process for each
+// region, named "upstreams-REGION".
 func (f *Fleet) StartUpstreams() error {
-	_, err := f.start("upstreams", "loomkeel-standin", "upstreams", "--instances", f.path("instances.json"), "--work", f.Spec.Work.String())
-	if err != nil {
-		return err
+	for _, region := range f.regions() {
+		if err := f.StartRegion(region); err != nil {
+			return err
+		}
 	}
 	for _, u := range f.Upstreams {
 		if err := f.waitFor("http://" + u.Address + "/-/runs"); err != nil {
@@ -86,6 +89,24 @@
 	return nil
 }
 
+// StartRegion starts the stand-ins of a region's upstreams. It does not wait
+// until they are ready.
+func (f *Fleet) StartRegion(region string) error {
+	_, err := f.start("upstreams-"+region, "loomkeel-standin", "upstreams", "--instances", f.path("upstreams.json"),
+		"--region", region, "--record", f.path("record"), "--work", f.Spec.Work.String())
+	return err
+}
+
+func (f *Fleet) regions() []string {
+	var out []string
+	for _, g := range f.Spec.Groups {
+		if !slices.Contains(out, g.Region) {
+			out = append(out, g.Region)
+		}
+	}
+	return out
+}
+
 // StartProcess starts one process of a node.
 func (f *Fleet) StartProcess(node, process string) (*Proc, error) {
 	return f.start(node+"-"+process, "loomkeel-"+process, "--settings", f.path(node+".ini"))
@@ -138,11 +159,16 @@
 		_ = p.Signal(syscall.SIGCONT)
 		p.Kill()
 	}
+	for _, relays := range []map[string]*Relay{f.PlatformRelays, f.UpstreamRelays} {
+		for _, r := range relays {
+			r.Close()
+		}
+	}
 }
 
 // patience is how long Eventually waits before it calls a condition failed. It
 // bounds broken runs only; no check depends on how long things take.
-const patience = 60 * time.Second
+const patience = 30 * time.Second
 
 // Eventually waits until ok reports nil.
 func Eventually(ok func() error) error {
--- a/test/fleet/use.go
+++ b/test/fleet/use.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -14,6 +17,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/ctl"
 	"github.com/loomkeel/loomkeel/internal/director"
+	"github.com/loomkeel/loomkeel/internal/entry"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/standin"
 	"github.com/loomkeel/loomkeel/internal/verdict"
@@ -49,6 +53,10 @@
 
 // Told returns what the caller knows of the request's execution.
 func (r Reply) Told() verdict.Verdict {
+	var dial *net.OpError
+	if errors.As(r.Err, &dial) && dial.Op == "dial" {
+		return verdict.NotRun
+	}
 	if r.Err != nil {
 		return verdict.MayHaveRun
 	}
@@ -96,30 +104,39 @@
 	return Reply{resp.StatusCode, string(b), resp.Header.Get(verdict.Header), r.ID, time.Since(start), err}
 }
 
-// Runs returns how often each request id ran at the upstreams.
-func (f *Fleet) Runs() (map[string]int, error) {
-	out := make(map[string]int)
-	for _, u := range f.Upstreams {
-		runs, err := f.RunsAt(u.Address)
+// Runs returns everything that the upstreams executed, from their record, which
+// outlives them.
+func (f *Fleet) Runs() ([]standin.Run, error) {
+	file, err := os.Open(f.path("record"))
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	var runs []standin.Run
+	dec := json.NewDecoder(file)
+	for {
+		var r standin.Run
+		err := dec.Decode(&r)
+		if errors.Is(err, io.EOF) {
+			return runs, nil
+		}
 		if err != nil {
 			return nil, err
 		}
-		for _, r := range runs {
-			out[r.ID]++
-		}
+		runs = append(runs, r)
 	}
-	return out, nil
 }
 
-// RunsAt returns what one upstream executed.
-func (f *Fleet) RunsAt(addr string) ([]standin.Run, error) {
-	resp, err := http.Get("http://" + addr + "/-/runs")
-	if err != nil {
-		return nil, err
+// CountRuns returns how often each request id ran.
+func CountRuns(runs []standin.Run) map[string]int {
+	out := make(map[string]int)
+	for _, r := range runs {
+		out[r.ID]++
 	}
-	defer resp.Body.Close()
-	var runs []standin.Run
-	return runs, json.NewDecoder(resp.Body).Decode(&runs)
+	return out
 }
 
 // Post calls a stand-in's test page, such as a fault of the platform.
@@ -144,15 +161,34 @@
 	return c
 }
 
-// EntryRevision returns the revision in force at a node's entry.
-func (f *Fleet) EntryRevision(node string) (uint64, error) {
-	resp, err := http.Get("http://" + f.Nodes[node].EntryDebug + "/debug/state")
+// EntryState returns the dump of a node's entry.
+func (f *Fleet) EntryState(node string) (entry.Dump, error) {
+	var d entry.Dump
+	resp, err := stateClient.Get("http://" + f.Nodes[node].EntryDebug + "/debug/state")
 	if err != nil {
-		return 0, err
+		return d, err
 	}
 	defer resp.Body.Close()
-	var d struct {
-		Revision uint64 `json:"revision"`
-	}
-	return d.Revision, json.NewDecoder(resp.Body).Decode(&d)
+	return d, json.NewDecoder(resp.Body).Decode(&d)
+}
+
+// stateClient gives up on a frozen process.
+var stateClient = &http.Client{Timeout: 2 * time.Second}
+
+// EntryRevision returns the revision in force at a node's entry.
+func (f *Fleet) EntryRevision(node string) (uint64, error) {
+	d, err := f.EntryState(node)
+	return d.Revision, err
+}
+
+// InForce waits until a revision is in force at the entries of nodes.
+func (f *Fleet) InForce(revision uint64, nodes ...string) error {
+	return Eventually(func() error {
+		for _, id := range nodes {
+			if rev, err := f.EntryRevision(id); err != nil || rev < revision {
+				return errors.Join(err, fmt.Errorf("%s is at revision %d, want %d", id, rev, revision))
+			}
+		}
+		return nil
+	})
 }
--- a/test/quickstart/main.go
+++ b/test/quickstart/main.go
@@ -10,8 +10,7 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"sync"
-	"sync/atomic"
+	"strings"
 	"syscall"
 	"time"
 
@@ -117,115 +116,76 @@
 		return fmt.Errorf("set: status %d: %s", status, out)
 	}
 	took := time.Since(start)
-	err := fleet.Eventually(func() error {
-		for id := range f.Nodes {
-			if rev, err := f.EntryRevision(id); err != nil || rev < 1 {
-				return errors.Join(err, fmt.Errorf("%s is at revision %d", id, rev))
-			}
-		}
-		return nil
-	})
+	err := f.InForce(1, "n1", "n2")
 	fmt.Printf("change: %s in %v, in force at every entry after %v\n", out, took.Round(time.Millisecond), time.Since(start).Round(time.Millisecond))
 	return err
 }
 
-// load sends orders to an entry until ctx ends, and reports what was told.
-type load struct {
-	wg                        sync.WaitGroup
-	sent, ran, notRun, unsure atomic.Int64
-	next                      atomic.Int64
-	mu                        sync.Mutex
-	replies                   []fleet.Reply
+// orders starts callers that send orders to one entry.
+func orders(ctx context.Context, name, entry string) *fleet.Load {
+	l := &fleet.Load{
+		Name: name, Service: "orders", Method: "POST", Path: "/orders", Body: "palm", Callers: 4, Pause: 2 * time.Millisecond,
+		Entries: func(int) []string { return []string{entry} },
+	}
+	l.Start(ctx)
+	return l
 }
 
-func (l *load) run(ctx context.Context, name, entry string, callers int) {
-	for range callers {
-		l.wg.Go(func() {
-			for ctx.Err() == nil {
-				id := fmt.Sprintf("%s-%d", name, l.next.Add(1))
-				r := fleet.Do(context.Background(), fleet.Request{Entry: entry, Method: "POST", Path: "/orders", Service: "orders", ID: id, Body: "palm"})
-				l.count(r)
-				time.Sleep(2 * time.Millisecond)
-			}
-		})
-	}
-}
-
-func (l *load) count(r fleet.Reply) {
-	l.sent.Add(1)
-	switch r.Told() {
-	case verdict.Ran:
-		l.ran.Add(1)
-	case verdict.NotRun:
-		l.notRun.Add(1)
-	default:
-		l.unsure.Add(1)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.replies = append(l.replies, r)
-}
-
-// check compares what callers were told with what the upstreams ran.
-func (l *load) check(f *fleet.Fleet) error {
+// judge compares what callers were told with what the upstreams ran.
+func judge(f *fleet.Fleet, outcomes []fleet.Outcome) error {
 	runs, err := f.Runs()
 	if err != nil {
 		return err
 	}
-	for _, r := range l.replies {
-		n := runs[r.ID]
-		told := r.Told()
-		if n > 1 || told == verdict.NotRun && n != 0 || told == verdict.Ran && n != 1 {
-			return fmt.Errorf("request %s: told %v, ran %d times", r.ID, told, n)
-		}
+	if faults := fleet.Judge(outcomes, fleet.CountRuns(runs), true); len(faults) > 0 {
+		return fmt.Errorf("%d contradictions, the first: %s", len(faults), faults[0])
 	}
 	return nil
 }
 
+func describe(outcomes []fleet.Outcome) string {
+	n := fleet.Count(outcomes)
+	return fmt.Sprintf("%d sent, %d ran, %d not run, %d unsure", len(outcomes), n[verdict.Ran], n[verdict.NotRun], n[verdict.MayHaveRun])
+}
+
 func drain(f *fleet.Fleet) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	var l load
-	l.run(ctx, "drain", f.Nodes["n1"].Entry, 4)
+	defer cancel()
+	l := orders(ctx, "drain", f.Nodes["n1"].Entry)
 	start := time.Now()
 	out, status := f.Ctl("n2", "drain", "night-work", "--region", "muscat", "--domain", "muscat-a")
 	if status != 0 {
-		cancel()
 		return fmt.Errorf("drain: status %d: %s", status, out)
 	}
 	time.Sleep(2500 * time.Millisecond)
 	cancel()
-	l.wg.Wait()
+	outcomes := l.Wait()
+	runs, err := f.Runs()
+	if err != nil {
+		return err
+	}
 	last := time.Duration(0)
-	for _, u := range f.Upstreams {
-		if u.Domain != "muscat-a" {
-			continue
-		}
-		runs, err := f.RunsAt(u.Address)
-		if err != nil {
-			return err
-		}
-		for _, r := range runs {
+	for _, r := range runs {
+		if strings.Contains(r.Upstream, "muscat-a") {
 			last = max(last, r.At.Sub(start))
 		}
 	}
-	fmt.Printf("drain: last request at the drained domain ended %v after the announcement; %d sent, %d ran, %d not run, %d unsure\n",
-		last.Round(time.Millisecond), l.sent.Load(), l.ran.Load(), l.notRun.Load(), l.unsure.Load())
+	fmt.Printf("drain: last request at the drained domain ended %v after the announcement; %s\n", last.Round(time.Millisecond), describe(outcomes))
 	if out, status := f.Ctl("n1", "undrain", "night-work"); status != 0 {
 		return fmt.Errorf("undrain: status %d: %s", status, out)
 	}
-	if l.notRun.Load()+l.unsure.Load() > 0 {
+	if fleet.Count(outcomes)[verdict.Ran] != len(outcomes) {
 		return errors.New("a request was refused or lost during the drain")
 	}
-	return l.check(f)
+	return judge(f, outcomes)
 }
 
 func stop(f *fleet.Fleet) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	var l load
-	l.run(ctx, "stop", f.Nodes["n2"].Entry, 4)
+	defer cancel()
+	l := orders(ctx, "stop", f.Nodes["n2"].Entry)
 	start := time.Now()
 	if err := f.Proc("n2-entry").Signal(syscall.SIGTERM); err != nil {
-		cancel()
 		return err
 	}
 	err := fleet.Eventually(func() error {
@@ -243,15 +203,15 @@
 	gone := time.Since(start)
 	time.Sleep(spec.Linger / 2)
 	cancel()
-	l.wg.Wait()
+	outcomes := l.Wait()
 	<-f.Proc("n2-entry").Done()
 	if err := errors.Join(err, f.Proc("n2-entry").Err()); err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
-	fmt.Printf("planned stop: out of the look-ups after %v, ended after %v; %d sent, %d ran, %d not run, %d unsure\n",
-		gone.Round(time.Millisecond), time.Since(start).Round(time.Millisecond), l.sent.Load(), l.ran.Load(), l.notRun.Load(), l.unsure.Load())
-	if l.unsure.Load() > 0 {
+	fmt.Printf("planned stop: out of the look-ups after %v, ended after %v; %s\n",
+		gone.Round(time.Millisecond), time.Since(start).Round(time.Millisecond), describe(outcomes))
+	if fleet.Count(outcomes)[verdict.MayHaveRun] > 0 {
 		return errors.New("a request was cut off by the planned stop")
 	}
-	return l.check(f)
+	return judge(f, outcomes)
 }
