Divide caps on a region by seats and leased grants

Cause: each entry took cap divided by the members it knew for its own, so two entries that disagreed about the members, or a replaced one that came back, passed the cap; and a shed upstream made others of which nothing was reported look full (TestAttempts failed: 503 where the second upstream was free).

Ruled out: dividing by live members (unsafe when they disagree); leases alone (nothing usable while the store is away); floors alone (most of the cap idle).

--- a/cmd/loomkeel-agent/main.go
+++ b/cmd/loomkeel-agent/main.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/loomkeel/loomkeel/internal/agent"
+	"github.com/loomkeel/loomkeel/internal/bootclock"
 	"github.com/loomkeel/loomkeel/internal/cli"
 	"github.com/loomkeel/loomkeel/internal/command"
 	"github.com/loomkeel/loomkeel/internal/membership"
@@ -50,6 +51,8 @@
 		Peers:      rpc.NewPeers(dialer),
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Period:     agent.DefaultPeriod,
+		Machine:    bootclock.BootID(),
+		Boot:       bootclock.Now,
 		Membership: membership.DefaultConfig(),
 	})
 	mux, err := rpc.NewMux(a)
--- a/cmd/loomkeel-entry/main.go
+++ b/cmd/loomkeel-entry/main.go
@@ -60,10 +60,11 @@
 	following, end := context.WithCancel(context.Background())
 	defer end()
 	go f.Run(following)
+	go e.Report(following, f)
 	<-ctx.Done()
 	return e.Stop(context.Background(), srv, entry.StopOptions{
 		Linger:  s.Entry.Linger,
 		Timeout: s.Entry.StopTime,
-		Leave:   func(ctx context.Context) error { return f.Report(ctx, true, e.Carrier.InFlight()) },
+		Agent:   f,
 	})
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/platform"
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+	"github.com/loomkeel/loomkeel/internal/share"
 )
 
 // Peers calls other agents by their addresses. Implementations are safe for
@@ -44,6 +45,11 @@
 	Rand *rand.Rand
 	// Period is the time between probes.
 	Period time.Duration
+	// Machine tells the machine apart from another that takes itself for the
+	// same instance.
+	Machine string
+	// Boot is the machine's clock since boot.
+	Boot func() int64
 	// Membership sets the times of the membership.
 	Membership membership.Config
 }
@@ -59,6 +65,7 @@
 	committer *configlog.Committer
 	table     *membership.Table
 	directory *directory
+	keeper    *share.Keeper
 	stats     Stats
 
 	// proberMu guards prober and rnd, which are not safe for concurrent use.
@@ -109,6 +116,7 @@
 		rnd:       opt.Rand,
 		processes: make(map[string]*process),
 	}
+	a.keeper = share.NewKeeper(opt.Store, opt.Self.ID+"@"+opt.Machine, opt.Self.Region, opt.Boot, time.Now)
 	a.committer = configlog.NewCommitter(opt.Store, a.log, time.Now)
 	a.prober = membership.NewProber(a.table, opt.Rand)
 	a.origin.Store("nothing yet")
@@ -119,7 +127,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	a.start(ctx)
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){a.probeLoop, a.pushLoop, a.logLoop, a.listLoop} {
+	for _, loop := range []func(context.Context){a.probeLoop, a.pushLoop, a.logLoop, a.listLoop, a.shareLoop} {
 		wg.Go(func() { loop(ctx) })
 	}
 	wg.Wait()
--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -4,6 +4,7 @@
 	"github.com/loomkeel/loomkeel/internal/fanout"
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/share"
 )
 
 // Dump is everything that an agent decides by.
@@ -17,7 +18,9 @@
 	// Due is how many members are still to be passed on.
 	Due       int               `json:"updates_due"`
 	Processes map[string]string `json:"processes"`
-	Stats     map[string]int64  `json:"stats"`
+	// Shares are the caps and how they are divided, by region.
+	Shares map[string]share.RegionStatus `json:"shares"`
+	Stats  map[string]int64              `json:"stats"`
 }
 
 // Dump returns the agent's state.
@@ -34,6 +37,7 @@
 		Directory: list,
 		Due:       a.table.Due(),
 		Processes: a.processStates(),
+		Shares:    a.keeper.Dump(),
 		Stats:     a.Counters(),
 	}
 }
--- a/internal/agent/node.go
+++ b/internal/agent/node.go
@@ -131,7 +131,7 @@
 	p.leaving, p.inFlight = req.GetLeaving(), req.GetInFlight()
 	a.localMu.Unlock()
 	a.announceProcesses()
-	return &pb.ReportReply{Revision: a.log.Revision()}
+	return &pb.ReportReply{Revision: a.log.Revision(), Limits: a.limits(req.GetUsage())}
 }
 
 // announceProcesses tells the peers which processes can be used, if that has
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -29,6 +29,9 @@
 	maxEjected = 0.5
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.1
+	// shedFor is how long an upstream that shed load is taken for full. It says
+	// nothing about the others.
+	shedFor = 50 * time.Millisecond
 	// drainingFor is how long an upstream's own word that it drains is believed.
 	drainingFor = 30 * time.Second
 )
@@ -55,6 +58,8 @@
 	ejections    int
 	ejectedUntil time.Time
 	drainUntil   time.Time
+	// shedUntil is until when an upstream that shed load is taken for full.
+	shedUntil time.Time
 	// coldSince is when the upstream appeared; zero for one that was there first.
 	coldSince time.Time
 	gone      bool
@@ -219,12 +224,20 @@
 }
 
 func (g *Group) hasSlot(m *member, now time.Time) bool {
+	if now.Before(m.shedUntil) {
+		return false
+	}
 	return g.estimate(m, now)+1 <= g.slots(m, now)+0.5
 }
 
 // slots is how many requests an upstream may have now: fewer while it is cold,
-// at least one.
+// at least one. One that fails again and again, but may not be ejected because
+// too many others are, gets one at a time: enough to see when it is well again,
+// while the rest goes to other regions.
 func (g *Group) slots(m *member, now time.Time) float64 {
+	if m.failures >= ejectAfter {
+		return 1
+	}
 	full := float64(max(m.Slots, 1))
 	if m.coldSince.IsZero() || g.warmup <= 0 {
 		return full
@@ -291,8 +304,7 @@
 		}
 		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
 	case Shed:
-		m.others = max(m.others, float64(m.Slots-m.inFlight))
-		m.reported = now
+		m.shedUntil = now.Add(shedFor)
 	case Failed:
 		m.failures++
 		if m.failures >= ejectAfter {
@@ -320,13 +332,14 @@
 	m.ejectedUntil = now.Add(d)
 }
 
-// updateMean keeps the mean load by others from the fresh reports.
+// updateMean keeps the mean load by others. An upstream without a fresh report
+// counts as idle, so that one report of a full one does not fill them all.
 func (g *Group) updateMean(now time.Time) {
 	var others, slots float64
 	for _, m := range g.byID {
+		slots += float64(max(m.Slots, 1))
 		if !m.reported.IsZero() && now.Sub(m.reported) < reportDecay {
 			others += m.others
-			slots += float64(max(m.Slots, 1))
 		}
 	}
 	g.meanOthers = 0
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,20 +8,25 @@
 	"encoding/hex"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/loomkeel/loomkeel/internal/bootclock"
 	"github.com/loomkeel/loomkeel/internal/follow"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/metrics"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/share"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
 // Entry carries requests and counts how they end.
 type Entry struct {
 	Carrier *forward.Carrier
+	book    *share.Book
+	leaving atomic.Bool
 	mu      sync.Mutex
 	byEnd   map[end]int64
 	latency map[string]*metrics.Latency
@@ -34,10 +39,11 @@
 	reason  string
 }
 
-// New returns an Entry. Options.Observe and NewID are set by it.
+// New returns an Entry. It sets Options.Observe, NewID, Book and Boot.
 func New(opt forward.Options) *Entry {
-	e := &Entry{byEnd: make(map[end]int64), latency: make(map[string]*metrics.Latency)}
+	e := &Entry{book: share.NewBook(), byEnd: make(map[end]int64), latency: make(map[string]*metrics.Latency)}
 	opt.Observe, opt.NewID = e.observe, newID
+	opt.Book, opt.Boot = e.book, bootclock.Now
 	e.Carrier = forward.New(opt)
 	return e
 }
@@ -93,12 +99,14 @@
 	Revision uint64                           `json:"revision"`
 	InFlight int                              `json:"in_flight"`
 	Services map[string]forward.ServiceStatus `json:"services"`
-	Metrics  map[string]ServiceMetrics        `json:"metrics"`
+	// Caps is what the entry uses and may use of the caps.
+	Caps    []share.Use               `json:"caps,omitempty"`
+	Metrics map[string]ServiceMetrics `json:"metrics"`
 }
 
 // Dump returns the entry's state.
 func (e *Entry) Dump(agent follow.Status) Dump {
-	return Dump{agent, revisionOf(e.Carrier.Snapshot()), e.Carrier.InFlight(), e.Carrier.Dump(), e.Metrics()}
+	return Dump{agent, revisionOf(e.Carrier.Snapshot()), e.Carrier.InFlight(), e.Carrier.Dump(), e.book.Look(bootclock.Now()), e.Metrics()}
 }
 
 func revisionOf(s *model.Snapshot) uint64 {
@@ -120,8 +128,8 @@
 	Linger time.Duration
 	// Timeout is how long requests in flight may take after that.
 	Timeout time.Duration
-	// Leave tells the agent that the entry leaves.
-	Leave func(ctx context.Context) error
+	// Agent is told that the entry leaves.
+	Agent Reporter
 }
 
 // Stop is the planned stop: the entry leaves the look-up answers, waits out
@@ -129,7 +137,8 @@
 // request in flight has.
 func (e *Entry) Stop(ctx context.Context, srv Shutdowner, opt StopOptions) error {
 	klog.InfoS("stopping", "linger", opt.Linger)
-	if err := opt.Leave(ctx); err != nil {
+	e.leaving.Store(true)
+	if err := e.report(ctx, opt.Agent, true); err != nil {
 		klog.ErrorS(err, "agent not told of the stop")
 	}
 	select {
--- /dev/null
+++ b/internal/entry/report.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+	"github.com/loomkeel/loomkeel/internal/share"
+)
+
+// reportEvery is the time between two reports to the agent.
+const reportEvery = 500 * time.Millisecond
+
+// Reporter is the connection to the agent.
+type Reporter interface {
+	Report(ctx context.Context, req *pb.ReportRequest) (*pb.ReportReply, error)
+}
+
+// Report tells the agent again and again what the entry uses of the caps, and
+// takes in what it may use, until ctx ends. While the agent is away, grants run
+// out by their times and the floors stay.
+func (e *Entry) Report(ctx context.Context, r Reporter) {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			_ = e.report(ctx, r, e.leaving.Load())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) report(ctx context.Context, r Reporter, leaving bool) error {
+	req := &pb.ReportRequest{Leaving: leaving, InFlight: uint32(e.Carrier.InFlight())}
+	for _, u := range e.Carrier.Usage() {
+		req.Usage = append(req.Usage, &pb.CapUsage{
+			Service: u.Service, Region: u.Region,
+			InFlight: uint32(max(0, u.InFlight)), Refused: uint32(u.Refused), Limit: uint32(u.Limit),
+		})
+	}
+	reply, err := r.Report(ctx, req)
+	if err != nil {
+		return err
+	}
+	limits := make([]share.Limit, len(reply.GetLimits()))
+	for i, l := range reply.GetLimits() {
+		limits[i] = share.Limit{
+			Service: l.GetService(), Region: l.GetRegion(),
+			Floor: int(l.GetFloor()), FloorUntil: l.GetFloorUntil(),
+			Grant: int(l.GetGrant()), GrantUntil: l.GetGrantUntil(),
+		}
+	}
+	e.book.Set(limits)
+	return nil
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -133,15 +133,14 @@
 	f.lastView.Store(time.Now().UnixMilli())
 }
 
-// Report tells the agent how the process fares.
-func (f *Follower) Report(ctx context.Context, leaving bool, inFlight int) error {
+// Report tells the agent how the process fares, and returns its answer.
+func (f *Follower) Report(ctx context.Context, req *pb.ReportRequest) (*pb.ReportReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	conn := f.dialer.Conn(f.agent)
 	defer conn.Close()
-	req := &pb.ReportRequest{Process: f.process, Leaving: leaving, InFlight: uint32(inFlight)}
-	_, err := pb.NewDRPCNodeClient(conn).Report(ctx, req)
-	return err
+	req.Process = f.process
+	return pb.NewDRPCNodeClient(conn).Report(ctx, req)
 }
 
 // Status is the state of the connection to the agent.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/header"
+
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
@@ -66,8 +68,8 @@
 	h := r.Header.Clone()
 	dropHop(h)
 	dropOwn(h)
-	h.Set(HeaderRequestID, cl.id)
-	h.Set(HeaderDeadline, strconv.FormatInt(max(1, cl.deadline.Sub(c.now()).Milliseconds()), 10))
+	h.Set(header.RequestID, cl.id)
+	h.Set(header.Deadline, strconv.FormatInt(max(1, cl.deadline.Sub(c.now()).Milliseconds()), 10))
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "")
 	}
@@ -104,7 +106,7 @@
 
 // readAnswer checks an answer and reads it whole if it is small.
 func readAnswer(ctx context.Context, cl *call, resp *http.Response) (*answer, *verdict.Error) {
-	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != cl.id {
+	if echo := resp.Header.Get(header.RequestID); echo != "" && echo != cl.id {
 		discard(resp)
 		return nil, verdict.New(verdict.MayHaveRun, reasonMismatch, fmt.Errorf("answer to request %q", echo))
 	}
@@ -147,11 +149,11 @@
 
 // reportOf returns what an answer tells of its upstream's load.
 func reportOf(resp *http.Response) (load int, draining bool) {
-	load, err := strconv.Atoi(resp.Header.Get(HeaderLoad))
+	load, err := strconv.Atoi(resp.Header.Get(header.Load))
 	if err != nil {
 		load = -1
 	}
-	return load, resp.Header.Get(HeaderState) == stateDraining
+	return load, resp.Header.Get(header.State) == header.StateDraining
 }
 
 // deliver sends an answer to the caller. A body that breaks off aborts the
@@ -163,7 +165,7 @@
 	}
 	dropHop(h)
 	dropOwn(h)
-	h.Set(HeaderRequestID, id)
+	h.Set(header.RequestID, id)
 	if a.resp.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/header"
+
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/tree"
 	"github.com/loomkeel/loomkeel/internal/verdict"
@@ -31,7 +33,7 @@
 	name, known := serviceName(r, snap)
 	svc := snap.Services[name]
 	if svc == nil || !known {
-		reason := fmt.Sprintf("unknown service %q: name one by %s or by host", name, HeaderService)
+		reason := fmt.Sprintf("unknown service %q: name one by %s or by host", name, header.Service)
 		return nil, &refusal{status: http.StatusNotFound, reason: "unknown-service", detail: reason, verdict: verdict.NotRun}
 	}
 	safe, err := isSafe(r, svc)
@@ -48,7 +50,7 @@
 }
 
 func serviceName(r *http.Request, snap *model.Snapshot) (string, bool) {
-	if name := r.Header.Get(HeaderService); name != "" {
+	if name := r.Header.Get(header.Service); name != "" {
 		return name, true
 	}
 	host := r.Host
@@ -64,9 +66,9 @@
 // that the method would make safe, and the other way round, but it cannot make
 // one safe that the service's setting calls unsafe.
 func isSafe(r *http.Request, svc *model.Service) (bool, error) {
-	mark := r.Header.Get(HeaderRepeat)
+	mark := r.Header.Get(header.Repeat)
 	if mark != "" && mark != tree.RepeatSafe && mark != tree.RepeatUnsafe {
-		return false, fmt.Errorf("%s is %q, allowed are %s and %s", HeaderRepeat, mark, tree.RepeatSafe, tree.RepeatUnsafe)
+		return false, fmt.Errorf("%s is %q, allowed are %s and %s", header.Repeat, mark, tree.RepeatSafe, tree.RepeatUnsafe)
 	}
 	switch {
 	case svc.Repeat == tree.RepeatUnsafe, mark == tree.RepeatUnsafe:
@@ -78,13 +80,13 @@
 }
 
 func timeLimit(r *http.Request, svc *model.Service) (time.Duration, error) {
-	s := r.Header.Get(HeaderDeadline)
+	s := r.Header.Get(header.Deadline)
 	if s == "" {
 		return svc.Deadline, nil
 	}
 	ms, err := strconv.ParseInt(s, 10, 32)
 	if err != nil || ms <= 0 {
-		return 0, fmt.Errorf("%s is %q, allowed are whole milliseconds above 0", HeaderDeadline, s)
+		return 0, fmt.Errorf("%s is %q, allowed are whole milliseconds above 0", header.Deadline, s)
 	}
 	return min(time.Duration(ms)*time.Millisecond, svc.Deadline), nil
 }
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -16,11 +16,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/header"
+
 	"k8s.io/klog/v2"
 
 	"github.com/loomkeel/loomkeel/internal/admit"
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/share"
 	"github.com/loomkeel/loomkeel/internal/shift"
 	"github.com/loomkeel/loomkeel/internal/tree"
 	"github.com/loomkeel/loomkeel/internal/verdict"
@@ -34,6 +37,9 @@
 	TLS *tls.Config
 	// Now is the clock.
 	Now func() time.Time
+	// Book holds the own shares of the caps, by the clock Boot.
+	Book *share.Book
+	Boot func() int64
 	// NewID makes request ids.
 	NewID func() string
 	// Observe is called at the end of each request; it must be quick.
@@ -149,7 +155,7 @@
 const maxRequestID = 64
 
 func requestID(r *http.Request, newID func() string) string {
-	if id := r.Header.Get(HeaderRequestID); id != "" && len(id) <= maxRequestID {
+	if id := r.Header.Get(header.RequestID); id != "" && len(id) <= maxRequestID {
 		return id
 	}
 	return newID()
@@ -184,7 +190,7 @@
 	regions := c.regions(snap, cl, l)
 	var last *verdict.Error
 	for {
-		choice, err := c.take(ctx, snap, cl, l, regions)
+		choice, err := c.take(ctx, cl, l, regions)
 		if err != nil {
 			if last == nil || err.Verdict == verdict.MayHaveRun {
 				last = err
@@ -312,7 +318,7 @@
 }
 
 // take admits the call and takes a slot, waiting in the queue if it has to.
-func (c *Carrier) take(ctx context.Context, snap *model.Snapshot, cl *call, l *lane, regions []string) (balance.Choice, *verdict.Error) {
+func (c *Carrier) take(ctx context.Context, cl *call, l *lane, regions []string) (balance.Choice, *verdict.Error) {
 	svc := cl.service
 	now := c.now()
 	d := admit.Decide(admit.Input{
@@ -329,7 +335,7 @@
 	if d.Reason != "" {
 		return balance.Choice{}, verdict.New(verdict.NotRun, string(d.Reason), nil).After(d.RetryAfter)
 	}
-	req := balance.Request{Regions: regions, Allowed: c.allowed(snap, svc), Tried: cl.tried}
+	req := balance.Request{Regions: regions, Allowed: c.allowed(svc), Tried: cl.tried}
 	if l.queue.Len() == 0 {
 		choice, err := l.group.Pick(now, newRand(), req)
 		if err == nil {
@@ -345,12 +351,11 @@
 // newRand returns a source for one decision, seeded from the process's own.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// allowed keeps a region's requests in flight under its cap.
-func (c *Carrier) allowed(snap *model.Snapshot, svc *model.Service) func(string, int) bool {
-	entries := max(1, len(snap.Members))
+// allowed keeps the requests in flight in a region within the own share of its
+// cap.
+func (c *Carrier) allowed(svc *model.Service) func(string, int) bool {
 	return func(region string, inFlight int) bool {
-		most := svc.MaxInFlight[region]
-		return most == 0 || inFlight < max(1, most/entries)
+		return !svc.Capped(region) || c.opt.Book.Allow(svc.Name, region, inFlight, c.opt.Boot())
 	}
 }
 
@@ -380,6 +385,32 @@
 	}
 }
 
+// Usage returns what the entry uses of the caps, with the refusals since the
+// last call.
+func (c *Carrier) Usage() []share.Reported {
+	limits := make(map[[2]string]share.Use)
+	for _, u := range c.opt.Book.Uses(c.opt.Boot()) {
+		limits[[2]string{u.Service, u.Region}] = u
+	}
+	snap := c.snap.Load()
+	if snap == nil {
+		return nil
+	}
+	var out []share.Reported
+	for name, svc := range snap.Services {
+		for region := range svc.MaxInFlight {
+			if !svc.Capped(region) {
+				continue
+			}
+			u := limits[[2]string{name, region}]
+			out = append(out, share.Reported{Service: name, Region: region, Usage: share.Usage{
+				InFlight: c.lane(name).group.InFlight(region), Refused: u.Refused, Limit: u.Limit,
+			}})
+		}
+	}
+	return out
+}
+
 // ServiceStatus is the state of one service, for dumps.
 type ServiceStatus struct {
 	Waiting   int                `json:"waiting"`
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -12,8 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/header"
+
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/share"
 	"github.com/loomkeel/loomkeel/internal/tree"
 )
 
@@ -113,7 +116,7 @@
 		if err != nil {
 			return
 		}
-		id := req.Header.Get(HeaderRequestID)
+		id := req.Header.Get(header.RequestID)
 		if b != sheds {
 			f.mu.Lock()
 			f.got = append(f.got, receipt{id, req.URL.RequestURI(), string(body), req.Header})
@@ -144,14 +147,14 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\nwho knows")
 		return false
 	case mixesUp:
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: of-another\r\nContent-Length: 7\r\n\r\nanother", HeaderRequestID)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: of-another\r\nContent-Length: 7\r\n\r\nanother", header.RequestID)
 		return true
 	case hangs:
 		_, _ = r.ReadByte()
 		f.left <- struct{}{}
 		return false
 	}
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\nanswer to %s", HeaderRequestID, id, len("answer to ")+len(id), id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\nanswer to %s", header.RequestID, id, len("answer to ")+len(id), id)
 	return true
 }
 
@@ -168,6 +171,8 @@
 	c := New(Options{
 		Room: 100,
 		Now:  time.Now,
+		Book: share.NewBook(),
+		Boot: func() int64 { return time.Now().UnixNano() },
 		NewID: func() string {
 			mu.Lock()
 			defer mu.Unlock()
@@ -198,7 +203,7 @@
 }
 
 // send sends a request and reads its answer.
-func (e *entry) send(t testing.TB, method, path, body string, header ...string) told {
+func (e *entry) send(t testing.TB, method, path, body string, fields ...string) told {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
@@ -206,9 +211,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Header.Set(HeaderService, "orders")
-	for i := 0; i < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
+	req.Header.Set(header.Service, "orders")
+	for i := 0; i < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"github.com/loomkeel/loomkeel/internal/header"
+
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
@@ -50,7 +52,7 @@
 				if reused {
 					e.send(t, "GET", "/warm", "")
 				}
-				a := e.send(t, method, "/order", "", HeaderRepeat, "unsafe", HeaderRequestID, "order-1", "Idempotency-Key", "k1")
+				a := e.send(t, method, "/order", "", header.Repeat, "unsafe", header.RequestID, "order-1", "Idempotency-Key", "k1")
 				if a.verdict(t) != verdict.MayHaveRun || a.status != http.StatusBadGateway {
 					t.Errorf("told %v, status %d", a.verdict(t), a.status)
 				}
@@ -90,7 +92,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			a, b := newFake(t, tt.first...), newFake(t, tt.second...)
 			e := newEntry(t, []*fake{a, b})
-			got := e.send(t, tt.method, "/x", "", HeaderRequestID, "r1")
+			got := e.send(t, tt.method, "/x", "", header.RequestID, "r1")
 			if got.status != tt.status || got.verdict(t) != tt.verdict {
 				t.Errorf("status %d, told %v; want %d, %v", got.status, got.verdict(t), tt.status, tt.verdict)
 			}
@@ -127,7 +129,7 @@
 			id := fmt.Sprint("r", i)
 			safe := i%2 == 0
 			mark := map[bool]string{true: "safe", false: "unsafe"}[safe]
-			a := e.send(t, "POST", "/x", "body of "+id, HeaderRequestID, id, HeaderRepeat, mark, "Idempotency-Key", id)
+			a := e.send(t, "POST", "/x", "body of "+id, header.RequestID, id, header.Repeat, mark, "Idempotency-Key", id)
 			if fault := judge(t, fakes, id, safe, a); fault != "" {
 				return fault
 			}
@@ -182,7 +184,7 @@
 	}
 	up := newFake(t)
 	e = newEntry(t, []*fake{gone, gone, up})
-	if a := e.send(t, "POST", "/x", "", HeaderRequestID, "r1"); a.status != 200 || len(up.receipts()) != 1 {
+	if a := e.send(t, "POST", "/x", "", header.RequestID, "r1"); a.status != 200 || len(up.receipts()) != 1 {
 		t.Errorf("status %d, ran %d times", a.status, len(up.receipts()))
 	}
 }
@@ -192,7 +194,7 @@
 func TestDeadlineEndsTheWait(t *testing.T) {
 	f := newFake(t, hangs)
 	e := newEntry(t, []*fake{f})
-	a := e.send(t, "POST", "/x", "", HeaderDeadline, "100")
+	a := e.send(t, "POST", "/x", "", header.Deadline, "100")
 	if a.status != http.StatusGatewayTimeout || a.verdict(t) != verdict.MayHaveRun {
 		t.Errorf("status %d, told %v", a.status, a.verdict(t))
 	}
@@ -204,7 +206,7 @@
 	e := newEntry(t, []*fake{f})
 	ctx, cancel := context.WithCancel(t.Context())
 	req, _ := http.NewRequestWithContext(ctx, "GET", e.url+"/x", nil)
-	req.Header.Set(HeaderService, "orders")
+	req.Header.Set(header.Service, "orders")
 	done := make(chan error, 1)
 	go func() {
 		_, err := http.DefaultClient.Do(req)
@@ -223,13 +225,13 @@
 func TestBadMarksAreRefused(t *testing.T) {
 	f := newFake(t)
 	e := newEntry(t, []*fake{f})
-	for _, h := range [][]string{{HeaderRepeat, "often"}, {HeaderDeadline, "soon"}, {HeaderDeadline, "-5"}} {
+	for _, h := range [][]string{{header.Repeat, "often"}, {header.Deadline, "soon"}, {header.Deadline, "-5"}} {
 		a := e.send(t, "POST", "/x", "", h...)
 		if a.status != http.StatusBadRequest || a.verdict(t) != verdict.NotRun || !strings.Contains(a.body, h[1]) {
 			t.Errorf("%v: status %d, told %v: %s", h, a.status, a.verdict(t), a.body)
 		}
 	}
-	if a := e.send(t, "POST", "/x", "", HeaderService, "nosuch"); a.status != http.StatusNotFound {
+	if a := e.send(t, "POST", "/x", "", header.Service, "nosuch"); a.status != http.StatusNotFound {
 		t.Errorf("unknown service: status %d", a.status)
 	}
 	if n := len(f.receipts()); n != 0 {
@@ -242,7 +244,7 @@
 	edit := tree.Edit{Path: "/services/orders", Key: tree.KeyRepeat, Value: tree.RepeatUnsafe}
 	a, b := newFake(t, diesRead), newFake(t, diesRead)
 	e := newEntry(t, []*fake{a, b}, edit)
-	e.send(t, "GET", "/x", "", HeaderRepeat, "safe")
+	e.send(t, "GET", "/x", "", header.Repeat, "safe")
 	if n := len(a.receipts()) + len(b.receipts()); n != 1 {
 		t.Errorf("ran %d times", n)
 	}
@@ -251,17 +253,17 @@
 func TestHeaders(t *testing.T) {
 	f := newFake(t)
 	e := newEntry(t, []*fake{f})
-	e.send(t, "GET", "/p%2Fq?a=b", "", "Connection", "X-Hop", "X-Hop", "1", "X-End", "2", "Loomkeel-Secret", "3", HeaderDeadline, "4000")
+	e.send(t, "GET", "/p%2Fq?a=b", "", "Connection", "X-Hop", "X-Hop", "1", "X-End", "2", "Loomkeel-Secret", "3", header.Deadline, "4000")
 	r := f.receipts()[0]
 	if r.path != "/p%2Fq?a=b" {
 		t.Errorf("path %q", r.path)
 	}
-	for _, name := range []string{"X-Hop", "Loomkeel-Secret", HeaderService} {
+	for _, name := range []string{"X-Hop", "Loomkeel-Secret", header.Service} {
 		if r.header.Get(name) != "" {
 			t.Errorf("%s reached the upstream", name)
 		}
 	}
-	if r.header.Get("X-End") != "2" || r.header.Get(HeaderDeadline) == "" || r.id == "" {
+	if r.header.Get("X-End") != "2" || r.header.Get(header.Deadline) == "" || r.id == "" {
 		t.Errorf("header %v", r.header)
 	}
 }
@@ -300,7 +302,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		fmt.Fprintf(conn, "POST /photo HTTP/1.1\r\nHost: x\r\n%s: orders\r\n%s\r\n\r\n5\r\nhello\r\n", HeaderService, framing)
+		fmt.Fprintf(conn, "POST /photo HTTP/1.1\r\nHost: x\r\n%s: orders\r\n%s\r\n\r\n5\r\nhello\r\n", header.Service, framing)
 		conn.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
 		conn.Close()
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/header"
+
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
@@ -45,7 +47,7 @@
 func (f *refusal) write(w http.ResponseWriter, id string) {
 	h := w.Header()
 	h.Set(verdict.Header, f.verdict.String())
-	h.Set(HeaderRequestID, id)
+	h.Set(header.RequestID, id)
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
 	if f.retryAfter > 0 {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -189,6 +189,10 @@
 	return svc
 }
 
+// Capped reports whether a service has a cap on its requests in flight in a
+// region.
+func (s *Service) Capped(region string) bool { return s.MaxInFlight[region] > 0 }
+
 // Draining reports whether an upstream is to get no new work at a time.
 func (s *Snapshot) Draining(u *Upstream, now time.Time) bool {
 	if u.Leaving {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,9 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/go-chi/chi/v5"
+	"github.com/loomkeel/loomkeel/internal/header"
 
-	"github.com/loomkeel/loomkeel/internal/forward"
+	"github.com/go-chi/chi/v5"
 )
 
 // Run is one request that an upstream executed.
@@ -130,16 +131,25 @@
 	}
 	defer func() { <-u.slots }()
 	n, err := io.Copy(io.Discard, r.Body)
-	if err != nil {
+	if err != nil || !u.work(r.Context()) {
 		return
 	}
+	u.record(Run{Upstream: u.ID, ID: r.Header.Get(header.RequestID), Method: r.Method, Path: r.URL.Path, Bytes: n, At: time.Now()})
+	u.answer(w, r, mode)
+}
+
+// work takes as long as a request does, and reports whether its caller stayed.
+// It ends before the answer is written, so that the gauge is never above what a
+// caller has under way.
+func (u *Upstream) work(ctx context.Context) bool {
+	u.Gauge.add(1)
+	defer u.Gauge.add(-1)
 	select {
 	case <-time.After(u.Work):
-	case <-r.Context().Done():
-		return
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	u.record(Run{Upstream: u.ID, ID: r.Header.Get(forward.HeaderRequestID), Method: r.Method, Path: r.URL.Path, Bytes: n, At: time.Now()})
-	u.answer(w, r, mode)
 }
 
 func (u *Upstream) takeSlot() bool {
@@ -156,11 +166,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	u.headers(w, mode)
-	if id := r.Header.Get(forward.HeaderRequestID); id != "" {
-		w.Header().Set(forward.HeaderRequestID, id)
+	if id := r.Header.Get(header.RequestID); id != "" {
+		w.Header().Set(header.RequestID, id)
 	}
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
-	body := fmt.Sprintf("%s answered %s %s for %s\n", u.ID, r.Method, r.URL.Path, r.Header.Get(forward.HeaderRequestID))
+	body := fmt.Sprintf("%s answered %s %s for %s\n", u.ID, r.Method, r.URL.Path, r.Header.Get(header.RequestID))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)+size))
 	_, _ = io.WriteString(w, body)
 	if mode == ModeCut {
@@ -176,9 +186,9 @@
 		load = u.inFlight
 		u.mu.Unlock()
 	}
-	w.Header().Set(forward.HeaderLoad, strconv.Itoa(load))
+	w.Header().Set(header.Load, strconv.Itoa(load))
 	if mode == ModeDraining {
-		w.Header().Set(forward.HeaderState, "draining")
+		w.Header().Set(header.State, header.StateDraining)
 	}
 }
 
@@ -186,7 +196,6 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight++
-	u.Gauge.add(1)
 	return u.mode
 }
 
@@ -194,7 +203,6 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight--
-	u.Gauge.add(-1)
 }
 
 func (u *Upstream) record(r Run) {
--- a/internal/tree/key.go
+++ b/internal/tree/key.go
@@ -46,6 +46,8 @@
 	KeyShiftCap       = "shift_cap"
 	KeyShiftRate      = "shift_rate"
 	KeyMaxInFlight    = "max_in_flight"
+	KeyCapFloor       = "cap_floor"
+	KeyCapSeats       = "cap_seats"
 	KeyDrainedDomains = "max_drained_domains"
 	KeyWeight         = "weight"
 	KeyLatency        = "latency"
@@ -94,6 +96,9 @@
 	fraction(KeyShiftRate, "0.2", []Kind{KindRoot, KindService}, "Largest share of a region's traffic that moves may shift in a minute."),
 	integer(KeyMaxInFlight, "0", 0, 1<<30, []Kind{KindRoot, KindService, KindServiceRegion},
 		"Cap on requests in flight at a service's upstreams in a region; 0 means the sum of their slots."),
+	fraction(KeyCapFloor, "0.5", atRegion, "Share of each cap that the region's instances keep while the key-value service is away."),
+	integer(KeyCapSeats, "8", 1, 10000, atRegion,
+		"Instances among which that share is divided: those of the region, and the ones replaced within a day."),
 	integer(KeyDrainedDomains, "1", 0, 100, atRegion, "How many failure domains of a region may be drained at one time."),
 	number(KeyWeight, "1", 0, 1000, []Kind{KindRoot, KindRegion, KindDomain}, "Weight of the place's entries in look-ups."),
 	duration(KeyLatency, "35ms", 0, 10*time.Second, atLink, "One-way latency of the link."),
--- a/test/fleet/use.go
+++ b/test/fleet/use.go
@@ -12,13 +12,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/header"
+
 	"github.com/loomkeel/loomkeel/internal/ctl"
 	"github.com/loomkeel/loomkeel/internal/director"
 	"github.com/loomkeel/loomkeel/internal/entry"
-	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/standin"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
@@ -87,13 +89,13 @@
 		return Reply{Err: err}
 	}
 	req.GetBody = nil
-	req.Header.Set(forward.HeaderService, r.Service)
-	req.Header.Set(forward.HeaderRequestID, r.ID)
+	req.Header.Set(header.Service, r.Service)
+	req.Header.Set(header.RequestID, r.ID)
 	if r.Repeat != "" {
-		req.Header.Set(forward.HeaderRepeat, r.Repeat)
+		req.Header.Set(header.Repeat, r.Repeat)
 	}
 	if r.Deadline > 0 {
-		req.Header.Set(forward.HeaderDeadline, fmt.Sprint(r.Deadline.Milliseconds()))
+		req.Header.Set(header.Deadline, fmt.Sprint(r.Deadline.Milliseconds()))
 	}
 	resp, err := callerClient.Do(req)
 	if err != nil {
@@ -139,6 +141,27 @@
 	return out
 }
 
+// Peak returns the largest number of requests that ran at once at a service's
+// upstreams in a region.
+func (f *Fleet) Peak(service, region string) (int, error) {
+	for _, u := range f.Upstreams {
+		if u.Service != service || u.Region != region {
+			continue
+		}
+		resp, err := http.Get("http://" + u.Address + "/-/peak")
+		if err != nil {
+			return 0, err
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return 0, err
+		}
+		return strconv.Atoi(string(b))
+	}
+	return 0, fmt.Errorf("fleet: no upstream of %s in %s", service, region)
+}
+
 // Post calls a stand-in's test page, such as a fault of the platform.
 func Post(addr, path string) error {
 	resp, err := http.Post("http://"+addr+path, "", nil)
--- a/test/proofs/proofs_test.go
+++ b/test/proofs/proofs_test.go
@@ -507,3 +507,67 @@
 		t.Error(errors.New("nothing moved"))
 	}
 }
+
+// TestRegionStaysUnderItsCap overloads a region from its own entries and, when
+// the other region's upstreams die, from those too, while agents and entries are
+// frozen and the store is away.
+func TestRegionStaysUnderItsCap(t *testing.T) {
+	const most = 24
+	spec := twoRegions()
+	spec.Work = 40 * time.Millisecond
+	f := deploy(t, spec)
+	ctl(t, f, "n-muscat-a", "set", "/services/stock/regions/sohar", fmt.Sprint("max_in_flight=", most))
+	check(t, f.InForce(1, nodeIDs(f)...))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l := &fleet.Load{Name: "look", Service: "stock", Method: "GET", Path: "/palms",
+		Entries: entries(f, nodeIDs(f)...), Callers: 60, Pause: time.Millisecond}
+	l.Start(ctx)
+	check(t, usable(f, 16))
+	check(t, answered(l, 400))
+	f.Proc("upstreams-muscat").Kill()
+	check(t, answered(l, 400))
+	for _, p := range []string{"n-sohar-a-agent", "n-muscat-a-entry"} {
+		check(t, f.Proc(p).Signal(syscall.SIGSTOP))
+		check(t, answered(l, 200))
+		check(t, f.Proc(p).Signal(syscall.SIGCONT))
+	}
+	check(t, fleet.Post(f.Platform, "/fault/down"))
+	check(t, answered(l, 400))
+	f.Proc("n-sohar-b-entry").Kill()
+	_, err := f.StartProcess("n-sohar-b", fleet.Entry)
+	check(t, err)
+	check(t, fleet.Post(f.Platform, "/fault/none"))
+	check(t, answered(l, 400))
+	cancel()
+	judge(t, f, l.Wait(), false)
+	peak, err := f.Peak("stock", "sohar")
+	check(t, err)
+	t.Logf("peak %d of %d in flight", peak, most)
+	if peak > most {
+		t.Errorf("%d requests in flight at once, the cap is %d", peak, most)
+	}
+	if peak < most/2 {
+		t.Errorf("peak %d: the cap of %d is hardly used", peak, most)
+	}
+}
+
+// usable waits until the entries together may use at least n of a cap.
+func usable(f *fleet.Fleet, n int) error {
+	return fleet.Eventually(func() error {
+		sum := 0
+		for _, id := range nodeIDs(f) {
+			d, err := f.EntryState(id)
+			if err != nil {
+				return err
+			}
+			for _, c := range d.Caps {
+				sum += c.Limit
+			}
+		}
+		if sum < n {
+			return fmt.Errorf("%d usable, want %d", sum, n)
+		}
+		return nil
+	})
+}
--- a/test/slopes/fleet.go
+++ b/test/slopes/fleet.go
@@ -199,6 +199,7 @@
 		Peers:      rpc.NewPeers(dialer),
 		Rand:       rand.New(rand.NewPCG(uint64(i), 7)),
 		Period:     agent.DefaultPeriod,
+		Boot:       func() int64 { return time.Now().UnixNano() },
 		Membership: membership.DefaultConfig(),
 	})
 	mux, err := rpc.NewMux(a)
