--- a/cmd/loomkeel-director/main.go
+++ b/cmd/loomkeel-director/main.go
@@ -41,7 +41,9 @@
 	dialer := rpc.NewDialer(clientTLS, nil)
 	defer dialer.Close()
 	d := director.New(time.Now)
-	f := follow.New(dialer, s.Agent.Peer, agent.ProcessDirector, s.Instance.Region, d.Update)
+	f := follow.New(follow.Options{
+		Dialer: dialer, Agent: s.Agent.Peer, Process: agent.ProcessDirector, Region: s.Instance.Region, Update: d.Update,
+	})
 	state := func() any { return dump{f.Status(), d.Dump()} }
 	metrics.Publish("director", state)
 	debug := chi.NewRouter()
--- a/cmd/loomkeel-entry/main.go
+++ b/cmd/loomkeel-entry/main.go
@@ -19,6 +19,7 @@
 	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/settings"
 	"github.com/loomkeel/loomkeel/internal/tlsconf"
+	"github.com/loomkeel/loomkeel/internal/tree"
 )
 
 func main() {
@@ -41,7 +42,10 @@
 	dialer := rpc.NewDialer(clientTLS, nil)
 	defer dialer.Close()
 	e := entry.New(forward.Options{Room: s.Entry.Room, TLS: upstreamTLS, Now: time.Now})
-	f := follow.New(dialer, s.Agent.Peer, agent.ProcessEntry, s.Instance.Region, e.Carrier.Update)
+	f := follow.New(follow.Options{
+		Dialer: dialer, Agent: s.Agent.Peer, Process: agent.ProcessEntry, Region: s.Instance.Region,
+		Update: e.Carrier.Update, Skip: tree.IsBlocks,
+	})
 	metrics.Publish("entry", func() any { return e.Metrics() })
 	debug := chi.NewRouter()
 	ready := func() bool { return e.Carrier.Snapshot() != nil && ctx.Err() == nil }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,7 +28,9 @@
 type Peers interface {
 	Exchange(ctx context.Context, addr string, req *pb.ExchangeRequest) (*pb.ExchangeReply, error)
 	Push(ctx context.Context, addr string, req *pb.PushRequest) (*pb.PushReply, error)
-	Snapshot(ctx context.Context, addr string, above uint64) ([]*pb.SnapshotPart, error)
+	// Snapshot calls each with the parts of a peer's state, in order, or not at
+	// all if the state is not newer than above.
+	Snapshot(ctx context.Context, addr string, above uint64, each func(*pb.SnapshotPart) error) error
 }
 
 // Options sets up an Agent.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1,12 +1,15 @@
 package agent
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/configlog"
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/standin"
+	"github.com/loomkeel/loomkeel/internal/tree"
 )
 
 // inForce is the users' bound on the time from acceptance to being in force
@@ -189,3 +192,40 @@
 		t.Logf("known after %v", took)
 	})
 }
+
+// TestNewcomerTakesLargeState starts an instance when no agent holds the records
+// any more, so that it needs a snapshot.
+func TestNewcomerTakesLargeState(t *testing.T) {
+	simulate(t, func(t *testing.T, n *network) {
+		nodes := grid(t, n, 1, 2, 2)
+		rev := importBlocks(t, nodes[0], 30, 1000)
+		waitUntil(t, "in force", inForce, allAt(nodes, rev))
+		fresh := n.run(t, "m0-a-9", "m0", "m0-a", 1)
+		waitUntil(t, "newcomer has the state", 2*time.Second, func() bool { return fresh.log.Revision() == rev })
+		if _, whole := fresh.log.Since(0, 1); whole {
+			t.Error("the newcomer got the records, not a snapshot")
+		}
+		_, tr, _ := fresh.log.View()
+		if got := len(tr.BlockPaths()); got != 30 {
+			t.Errorf("newcomer has %d paths of blocks", got)
+		}
+	})
+}
+
+// importBlocks makes changes with many edits each.
+func importBlocks(t *testing.T, x *node, changes, edits int) uint64 {
+	t.Helper()
+	var rev uint64
+	for c := range changes {
+		ch := configlog.Change{ID: fmt.Sprint("import-", c), Author: "op"}
+		for i := range edits {
+			key := fmt.Sprintf("10.%d.%d.0/24", c, i%256)
+			if i >= 256 {
+				key = fmt.Sprintf("10.%d.%d.%d/32", c, i%256, i/256)
+			}
+			ch.Edits = append(ch.Edits, tree.Edit{Path: fmt.Sprint("/blocks/b", c), Key: key, Value: "m0"})
+		}
+		rev = commit(t, x, ch)
+	}
+	return rev
+}
--- a/internal/agent/network_test.go
+++ b/internal/agent/network_test.go
@@ -99,17 +99,12 @@
 	return a.HandlePush(ctx, req), nil
 }
 
-func (l link) Snapshot(ctx context.Context, addr string, above uint64) ([]*pb.SnapshotPart, error) {
+func (l link) Snapshot(ctx context.Context, addr string, above uint64, each func(*pb.SnapshotPart) error) error {
 	a, err := l.net.reach(ctx, l.self, addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var parts []*pb.SnapshotPart
-	err = a.HandleSnapshot(&pb.SnapshotRequest{Above: above}, func(p *pb.SnapshotPart) error {
-		parts = append(parts, p)
-		return nil
-	})
-	return parts, err
+	return a.HandleSnapshot(&pb.SnapshotRequest{Above: above}, each)
 }
 
 // node is a running agent of a test.
--- a/internal/agent/node.go
+++ b/internal/agent/node.go
@@ -10,6 +10,7 @@
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+	"github.com/loomkeel/loomkeel/internal/tree"
 )
 
 // Names of the processes beside an agent.
@@ -34,7 +35,7 @@
 func (a *Agent) HandleFollow(ctx context.Context, req *pb.FollowRequest, send func(*pb.View) error) error {
 	a.follows(req.GetProcess(), 1)
 	defer a.follows(req.GetProcess(), -1)
-	var f follower
+	f := follower{process: req.GetProcess()}
 	for {
 		newest, _, advanced := a.log.View()
 		list, listed := a.directory.get()
@@ -57,6 +58,7 @@
 
 // follower is what one stream has been sent.
 type follower struct {
+	process  string
 	started  bool
 	revision uint64
 	list     uint64
@@ -71,7 +73,7 @@
 			v.Revision = records[n-1].Revision
 		}
 	} else {
-		revision, err := a.sendSnapshot(send)
+		revision, err := f.sendSnapshot(a, send)
 		if err != nil {
 			return err
 		}
@@ -90,14 +92,21 @@
 	return nil
 }
 
-// sendSnapshot sends the state in parts and returns its revision.
-func (a *Agent) sendSnapshot(send func(*pb.View) error) (uint64, error) {
+// sendSnapshot sends the state in parts and returns its revision. An entry has no
+// use for the blocks of client addresses, which are by far the most of it.
+func (f *follower) sendSnapshot(a *Agent, send func(*pb.View) error) (uint64, error) {
 	s := a.log.Snapshot()
-	for i, p := range s.Parts() {
-		p.Changes = nil
-		if err := send(&pb.View{Snapshot: p, First: i == 0, More: true, Revision: s.Revision}); err != nil {
+	s.Changes = nil
+	var skip func(string) bool
+	if f.process == ProcessEntry {
+		skip = tree.IsBlocks
+	}
+	first := true
+	for p := range s.Parts(skip) {
+		if err := send(&pb.View{Snapshot: p, First: first, More: true, Revision: s.Revision}); err != nil {
 			return 0, err
 		}
+		first = false
 	}
 	return s.Revision, nil
 }
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -101,16 +101,13 @@
 func (a *Agent) snapshotFrom(ctx context.Context, m membership.Member) bool {
 	call, cancel := context.WithTimeout(ctx, 5*startCall)
 	defer cancel()
-	parts, err := a.opt.Peers.Snapshot(call, m.Agent, a.log.Revision())
-	if err != nil || len(parts) == 0 {
+	var parts configlog.Assembler
+	if err := a.opt.Peers.Snapshot(call, m.Agent, a.log.Revision(), parts.Add); err != nil {
+		klog.V(1).InfoS("no snapshot", "from", m.ID, "err", err)
 		return false
 	}
-	s, err := configlog.FromParts(parts)
-	if err != nil {
-		klog.ErrorS(err, "snapshot refused", "from", m.ID)
-		return false
-	}
-	return a.log.Restore(s)
+	s, err := parts.Snapshot()
+	return err == nil && a.log.Restore(s)
 }
 
 // neighbours returns the live members in random order, those of the own region
@@ -144,7 +141,7 @@
 	}
 	defer a.serving.Add(-1)
 	a.stats.SnapshotsServed.Add(1)
-	for _, p := range a.log.Snapshot().Parts() {
+	for p := range a.log.Snapshot().Parts(nil) {
 		if err := send(p); err != nil {
 			return err
 		}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,6 +38,7 @@
 				return err
 			}
 			process.InitLog(s.Log.Verbosity)
+			process.InitMemory()
 			ctx, stop := process.Signals(ctx)
 			defer stop()
 			return d.Run(ctx, s)
--- a/internal/configlog/committer_test.go
+++ b/internal/configlog/committer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -255,16 +256,15 @@
 }
 
 func sameState(a, b *Log) bool {
-	pa, pb := a.Snapshot().Parts(), b.Snapshot().Parts()
-	if len(pa) != len(pb) {
-		return false
-	}
-	for i := range pa {
-		if pa[i].String() != pb[i].String() {
-			return false
-		}
+	return slices.Equal(texts(a), texts(b))
+}
+
+func texts(l *Log) []string {
+	var out []string
+	for p := range l.Snapshot().Parts(nil) {
+		out = append(out, p.String())
 	}
-	return true
+	return out
 }
 
 // TestHeadMissing finds a record whose writer died before it raised the head.
@@ -303,3 +303,24 @@
 		}
 	})
 }
+
+// TestPartsOfNothing keeps the revision when everything is left out.
+func TestPartsOfNothing(t *testing.T) {
+	log := NewLog()
+	rec := Record{Change: deadline("c1", "stock", "2s"), Revision: 1}
+	if _, err := log.Append(rec); err != nil {
+		t.Fatal(err)
+	}
+	s := log.Snapshot()
+	s.Changes = nil
+	var a Assembler
+	for p := range s.Parts(func(string) bool { return true }) {
+		if err := a.Add(p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := a.Snapshot()
+	if err != nil || got.Revision != 1 {
+		t.Errorf("snapshot %+v, %v", got, err)
+	}
+}
--- a/internal/configlog/log.go
+++ b/internal/configlog/log.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// keepRecords is how many of the newest records a Log holds for peers that
-	// lag.
+	// keepRecords and keepEdits bound the newest records that a Log holds for
+	// peers that lag: their number, and the edits in them.
 	keepRecords = 512
+	keepEdits   = 8192
 	// keepChanges is how many change ids a Log remembers. It covers the ring, so
 	// that any change whose record could still be read back is known.
 	keepChanges = RingSize
@@ -31,6 +32,7 @@
 	revision uint64
 	tree     *tree.Tree
 	recent   []Record
+	edits    int
 	changes  []Applied
 	byID     map[string]uint64
 	advanced chan struct{}
@@ -76,12 +78,24 @@
 	l.tree = l.tree.Apply(r.Edits, r.Revision)
 	l.revision = r.Revision
 	l.recent = append(l.recent, r)
-	if len(l.recent) > 2*keepRecords {
-		l.recent = append([]Record(nil), l.recent[len(l.recent)-keepRecords:]...)
+	l.edits += len(r.Edits)
+	if len(l.recent) > 2*keepRecords || l.edits > 2*keepEdits {
+		l.trim()
 	}
 	l.remember(Applied{r.ID, r.Revision})
 }
 
+// trim drops the oldest records until what is left is within the bounds; the
+// newest stays in any case.
+func (l *Log) trim() {
+	drop := 0
+	for len(l.recent)-drop > 1 && (len(l.recent)-drop > keepRecords || l.edits > keepEdits) {
+		l.edits -= len(l.recent[drop].Edits)
+		drop++
+	}
+	l.recent = append([]Record(nil), l.recent[drop:]...)
+}
+
 func (l *Log) remember(a Applied) {
 	l.changes = append(l.changes, a)
 	l.byID[a.ID] = a.Revision
@@ -109,7 +123,7 @@
 	if s.Revision <= l.revision {
 		return false
 	}
-	l.revision, l.tree, l.recent = s.Revision, s.Tree, nil
+	l.revision, l.tree, l.recent, l.edits = s.Revision, s.Tree, nil, 0
 	l.changes, l.byID = nil, make(map[string]uint64)
 	for _, a := range s.Changes {
 		l.remember(a)
--- a/internal/configlog/snapshot.go
+++ b/internal/configlog/snapshot.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,65 +25,102 @@
 	Changes  []Applied
 }
 
-// Parts returns the messages of a snapshot. The same state always gives the
-// same parts, so that two writers of one revision do not disturb each other.
-func (s *Snapshot) Parts() []*pb.SnapshotPart {
-	var parts []*pb.SnapshotPart
-	part := &pb.SnapshotPart{Revision: s.Revision}
-	size := 0
-	room := func(n int) {
-		if size+n > partBytes {
-			parts = append(parts, part)
-			part, size = &pb.SnapshotPart{Revision: s.Revision}, 0
+// Parts returns the messages of a snapshot one by one, at least one. The same
+// state always gives the same parts, so that two writers of one revision do not
+// disturb each other. Paths for which skip is true are left out; skip may be
+// nil.
+func (s *Snapshot) Parts(skip func(path string) bool) iter.Seq[*pb.SnapshotPart] {
+	return func(yield func(*pb.SnapshotPart) bool) {
+		p := packer{revision: s.Revision, yield: yield}
+		for _, path := range s.Tree.AllPaths() {
+			if skip != nil && skip(path) {
+				continue
+			}
+			for _, m := range settingsAt(s.Tree, path) {
+				p.room(proto.Size(m)).Settings = append(p.part.Settings, m)
+			}
 		}
-		size += n
+		for _, a := range s.Changes {
+			m := &pb.AppliedChange{ChangeId: a.ID, Revision: a.Revision}
+			p.room(proto.Size(m)).Changes = append(p.part.Changes, m)
+		}
+		p.finish()
+	}
+}
+
+// packer fills parts and hands each on when it is full.
+type packer struct {
+	revision uint64
+	yield    func(*pb.SnapshotPart) bool
+	part     *pb.SnapshotPart
+	size     int
+	stopped  bool
+}
+
+// room returns a part with room for n bytes more.
+func (p *packer) room(n int) *pb.SnapshotPart {
+	if p.part == nil {
+		p.part = &pb.SnapshotPart{Revision: p.revision}
 	}
-	for _, m := range s.settings() {
-		room(proto.Size(m) + 4)
-		part.Settings = append(part.Settings, m)
+	if p.size > 0 && p.size+n > partBytes {
+		p.stopped = p.stopped || !p.yield(p.part)
+		p.part, p.size = &pb.SnapshotPart{Revision: p.revision}, 0
 	}
-	for _, a := range s.Changes {
-		m := &pb.AppliedChange{ChangeId: a.ID, Revision: a.Revision}
-		room(proto.Size(m) + 4)
-		part.Changes = append(part.Changes, m)
+	p.size += n
+	return p.part
+}
+
+// finish hands on the last part, which may be empty.
+func (p *packer) finish() {
+	p.room(0)
+	if !p.stopped {
+		p.yield(p.part)
 	}
-	return append(parts, part)
 }
 
-func (s *Snapshot) settings() []*pb.Setting {
+func settingsAt(t *tree.Tree, path string) []*pb.Setting {
 	var all []*pb.Setting
-	s.Tree.Walk(func(path, key string, v tree.Setting) {
+	t.Node(path, func(key string, v tree.Setting) {
 		all = append(all, &pb.Setting{Path: path, Key: key, Value: v.Value, Revision: v.Revision, Unset: v.Unset})
 	})
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].Path != all[j].Path {
-			return all[i].Path < all[j].Path
-		}
-		return all[i].Key < all[j].Key
-	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
 	return all
 }
 
-// FromParts puts a snapshot together.
-func FromParts(parts []*pb.SnapshotPart) (*Snapshot, error) {
-	if len(parts) == 0 {
-		return nil, &DecodeError{"snapshot", "no parts"}
+// Assembler puts a snapshot together from its parts in order. Its zero value is
+// ready.
+type Assembler struct {
+	parts    int
+	snapshot Snapshot
+	builder  tree.Builder
+}
+
+// Add takes in the next part.
+func (a *Assembler) Add(p *pb.SnapshotPart) error {
+	if a.parts == 0 {
+		a.snapshot.Revision = p.GetRevision()
 	}
-	s := &Snapshot{Revision: parts[0].GetRevision()}
-	var b tree.Builder
-	for _, p := range parts {
-		if p.GetRevision() != s.Revision {
-			return nil, &DecodeError{"snapshot", "parts of several revisions"}
-		}
-		for _, m := range p.GetSettings() {
-			b.Put(m.GetPath(), m.GetKey(), tree.Setting{Value: m.GetValue(), Revision: m.GetRevision(), Unset: m.GetUnset()})
-		}
-		for _, c := range p.GetChanges() {
-			s.Changes = append(s.Changes, Applied{c.GetChangeId(), c.GetRevision()})
-		}
+	a.parts++
+	if p.GetRevision() != a.snapshot.Revision {
+		return &DecodeError{"snapshot", "parts of several revisions"}
+	}
+	for _, m := range p.GetSettings() {
+		a.builder.Put(m.GetPath(), m.GetKey(), tree.Setting{Value: m.GetValue(), Revision: m.GetRevision(), Unset: m.GetUnset()})
+	}
+	for _, c := range p.GetChanges() {
+		a.snapshot.Changes = append(a.snapshot.Changes, Applied{c.GetChangeId(), c.GetRevision()})
 	}
-	s.Tree = b.Tree()
-	return s, nil
+	return nil
+}
+
+// Snapshot returns the whole, or an error if there was no part. The Assembler
+// must not be used afterwards.
+func (a *Assembler) Snapshot() (*Snapshot, error) {
+	if a.parts == 0 {
+		return nil, &DecodeError{"snapshot", "no parts"}
+	}
+	a.snapshot.Tree = a.builder.Tree()
+	return &a.snapshot, nil
 }
 
 func partKey(revision uint64, part int) string {
@@ -98,12 +136,12 @@
 		return old.GetRevision(), err
 	}
 	next := &pb.SnapshotPointer{Revision: s.Revision}
-	for i, p := range s.Parts() {
+	for p := range s.Parts(nil) {
 		body, err := proto.MarshalOptions{Deterministic: true}.Marshal(p)
 		if err != nil {
 			return 0, err
 		}
-		if err := putPart(ctx, store, partKey(s.Revision, i), body); err != nil {
+		if err := putPart(ctx, store, partKey(s.Revision, len(next.Checksums)), body); err != nil {
 			return 0, err
 		}
 		next.Checksums = append(next.Checksums, xxhash.Sum64(body))
@@ -179,7 +217,7 @@
 }
 
 func loadParts(ctx context.Context, store platform.Store, p *pb.SnapshotPointer) (*Snapshot, error) {
-	var parts []*pb.SnapshotPart
+	var a Assembler
 	for i, sum := range p.GetChecksums() {
 		e, err := store.Get(ctx, partKey(p.GetRevision(), i))
 		if err != nil {
@@ -192,7 +230,9 @@
 		if err := proto.Unmarshal(e.Value, part); err != nil {
 			return nil, &DecodeError{"snapshot part", err.Error()}
 		}
-		parts = append(parts, part)
+		if err := a.Add(part); err != nil {
+			return nil, err
+		}
 	}
-	return FromParts(parts)
+	return a.Snapshot()
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+	"github.com/loomkeel/loomkeel/internal/tree"
 )
 
 const (
@@ -33,9 +35,11 @@
 	process string
 	region  string
 	update  func(*model.Snapshot)
+	// skip leaves out edits to paths that the process has no use for.
+	skip func(path string) bool
 
 	log       *configlog.Log
-	parts     []*pb.SnapshotPart
+	parts     *configlog.Assembler
 	directory model.Directory
 	members   []membership.Member
 	connected atomic.Bool
@@ -43,10 +47,29 @@
 	lastView  atomic.Int64
 }
 
-// New returns a Follower of the agent at an address, for a process of a region.
-// It calls update with each new snapshot, one call at a time.
-func New(dialer *rpc.Dialer, agent, process, region string, update func(*model.Snapshot)) *Follower {
-	return &Follower{dialer: dialer, agent: agent, process: process, region: region, update: update, log: configlog.NewLog()}
+// Options sets up a Follower.
+type Options struct {
+	Dialer *rpc.Dialer
+	// Agent is the agent's address, Process the name of the own process, Region
+	// the own region.
+	Agent, Process, Region string
+	// Update is called with each new snapshot, one call at a time.
+	Update func(*model.Snapshot)
+	// Skip is true for paths that the process has no use for; nil skips none.
+	Skip func(path string) bool
+}
+
+// New returns a Follower.
+func New(opt Options) *Follower {
+	return &Follower{
+		dialer:  opt.Dialer,
+		agent:   opt.Agent,
+		process: opt.Process,
+		region:  opt.Region,
+		update:  opt.Update,
+		skip:    opt.Skip,
+		log:     configlog.NewLog(),
+	}
 }
 
 // Run follows until ctx ends.
@@ -83,11 +106,8 @@
 
 // take applies a view. A revision older than the own never replaces it.
 func (f *Follower) take(v *pb.View) {
-	if v.GetSnapshot() != nil {
-		if v.GetFirst() {
-			f.parts = nil
-		}
-		f.parts = append(f.parts, v.GetSnapshot())
+	if p := v.GetSnapshot(); p != nil {
+		f.assemble(p, v.GetFirst())
 	}
 	if v.GetMore() {
 		return
@@ -97,7 +117,7 @@
 	if err != nil {
 		klog.ErrorS(err, "record refused", "from", f.agent)
 	}
-	if _, err := f.log.Append(records...); err != nil {
+	if _, err := f.log.Append(f.needed(records)...); err != nil {
 		klog.ErrorS(err, "records do not follow", "from", f.agent)
 	}
 	if d := v.GetDirectory(); d != nil && d.GetVersion() >= f.directory.Version {
@@ -107,17 +127,42 @@
 	f.publish()
 }
 
-func (f *Follower) restore() {
-	if len(f.parts) == 0 {
+// needed leaves out the edits that the process has no use for.
+func (f *Follower) needed(records []configlog.Record) []configlog.Record {
+	if f.skip == nil {
+		return records
+	}
+	for i := range records {
+		edits := records[i].Edits
+		records[i].Edits = slices.DeleteFunc(edits, func(e tree.Edit) bool { return f.skip(e.Path) })
+	}
+	return records
+}
+
+// assemble takes in a part of a snapshot. A part that does not fit drops the
+// whole.
+func (f *Follower) assemble(p *pb.SnapshotPart, first bool) {
+	if first {
+		f.parts = new(configlog.Assembler)
+	}
+	if f.parts == nil {
 		return
 	}
-	s, err := configlog.FromParts(f.parts)
-	f.parts = nil
-	if err != nil {
+	if err := f.parts.Add(p); err != nil {
 		klog.ErrorS(err, "snapshot refused", "from", f.agent)
+		f.parts = nil
+	}
+}
+
+func (f *Follower) restore() {
+	if f.parts == nil {
 		return
 	}
-	f.log.Restore(s)
+	s, err := f.parts.Snapshot()
+	f.parts = nil
+	if err == nil {
+		f.log.Restore(s)
+	}
 }
 
 func (f *Follower) publish() {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -11,7 +11,9 @@
 	"flag"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -41,6 +43,17 @@
 	_ = fs.Set("logtostderr", "true")
 }
 
+// gcPercent lets the heap grow by half, not to double, between collections: an
+// instance is small, and control may take only a part of it.
+const gcPercent = 50
+
+// InitMemory sets the collector's pace, unless GOGC does.
+func InitMemory() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+}
+
 // Signals returns a context that ends at SIGTERM or SIGINT.
 func Signals(ctx context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/route/blocks.go
+++ b/internal/route/blocks.go
@@ -7,7 +7,6 @@
 
 import (
 	"net/netip"
-	"strings"
 
 	"github.com/gaissmai/bart"
 
@@ -21,16 +20,12 @@
 	marks map[string]uint64
 }
 
-const blocksPrefix = "/blocks/"
-
 // NewBlocks returns the table of a tree. It returns old itself if no block has
 // changed since old was built.
 func NewBlocks(t *tree.Tree, old *Blocks) *Blocks {
 	marks := make(map[string]uint64)
-	for _, p := range t.Paths() {
-		if strings.HasPrefix(p, blocksPrefix) {
-			marks[p] = t.Revision(p)
-		}
+	for _, p := range t.BlockPaths() {
+		marks[p] = t.Revision(p)
 	}
 	if old != nil && sameMarks(old.marks, marks) {
 		return old
@@ -39,16 +34,12 @@
 	// Few distinct lists of regions stand behind very many blocks.
 	lists := make(map[string]*[]string)
 	for p := range marks {
-		t.Node(p, func(key string, s tree.Setting) {
-			prefix, err := netip.ParsePrefix(key)
-			if err != nil || s.Unset {
-				return
-			}
-			l := lists[s.Value]
+		t.Blocks(p, func(prefix netip.Prefix, regions string) {
+			l := lists[regions]
 			if l == nil {
-				regions := tree.SplitList(s.Value)
-				l = &regions
-				lists[s.Value] = l
+				split := tree.SplitList(regions)
+				l = &split
+				lists[regions] = l
 			}
 			b.table.Insert(prefix, l)
 		})
--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -31,25 +31,27 @@
 	return pb.NewDRPCPeerClient(conn).Push(ctx, req)
 }
 
-// Snapshot reads a peer's state if it is newer than above.
-func (p *Peers) Snapshot(ctx context.Context, addr string, above uint64) ([]*pb.SnapshotPart, error) {
+// Snapshot calls each with the parts of a peer's state, in order, if it is newer
+// than above.
+func (p *Peers) Snapshot(ctx context.Context, addr string, above uint64, each func(*pb.SnapshotPart) error) error {
 	conn := p.dialer.Conn(addr)
 	defer conn.Close()
 	stream, err := pb.NewDRPCPeerClient(conn).Snapshot(ctx, &pb.SnapshotRequest{Above: above})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer stream.Close()
-	var parts []*pb.SnapshotPart
-	for len(parts) < maxParts {
+	for range maxParts {
 		part, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
-			return parts, nil
+			return nil
 		}
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if err := each(part); err != nil {
+			return err
 		}
-		parts = append(parts, part)
 	}
-	return nil, errors.New("rpc: snapshot with too many parts")
+	return errors.New("rpc: snapshot with too many parts")
 }
--- a/internal/tree/key.go
+++ b/internal/tree/key.go
@@ -200,8 +200,8 @@
 
 func checkBlock(path, key, value string) error {
 	p, err := netip.ParsePrefix(key)
-	if err != nil || p.Masked() != p {
-		return &ValueError{path, key, value, "not a masked prefix", "prefixes such as 10.1.0.0/16"}
+	if err != nil || p.Masked().String() != key {
+		return &ValueError{path, key, value, "not a masked prefix in its usual form", "prefixes such as 10.1.0.0/16"}
 	}
 	if value == "" {
 		return &ValueError{path, key, value, "no region", "regions in order, separated by commas"}
--- a/internal/tree/schedule.go
+++ b/internal/tree/schedule.go
@@ -94,7 +94,7 @@
 func (t *Tree) pathsUnder(prefix string) []string {
 	var paths []string
 	for p, n := range t.nodes {
-		if strings.HasPrefix(p, prefix) && isSet(n) {
+		if strings.HasPrefix(p, prefix) && n.isSet() {
 			paths = append(paths, p)
 		}
 	}
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -34,13 +34,60 @@
 	nodes map[string]node
 }
 
-// node is what one path sets itself.
+// node is what one path sets itself. It has either keys or blocks.
 type node struct {
-	keys map[string]Setting
+	keys   map[string]Setting
+	blocks blockList
 	// revision is the largest revision of the keys.
 	revision uint64
 }
 
+func (n node) get(key string) (Setting, bool) {
+	if n.blocks != nil {
+		return n.blocks.get(key)
+	}
+	s, ok := n.keys[key]
+	return s, ok
+}
+
+// put sets a key of a node of a path. The node must not be shared.
+func (n *node) put(path, key string, s Setting) {
+	n.revision = max(n.revision, s.Revision)
+	if IsBlocks(path) {
+		n.blocks = n.blocks.put(key, s)
+		return
+	}
+	if n.keys == nil {
+		n.keys = make(map[string]Setting)
+	}
+	n.keys[key] = s
+}
+
+// clone returns a node that shares nothing with n.
+func (n node) clone() node {
+	return node{maps.Clone(n.keys), slices.Clone(n.blocks), n.revision}
+}
+
+// each calls visit with every key, also those unset.
+func (n node) each(visit func(key string, s Setting)) {
+	for k, s := range n.keys {
+		visit(k, s)
+	}
+	for i := range n.blocks {
+		visit(n.blocks[i].prefix().String(), n.blocks[i].setting())
+	}
+}
+
+// isSet reports whether any key is set.
+func (n node) isSet() bool {
+	for _, s := range n.keys {
+		if !s.Unset {
+			return true
+		}
+	}
+	return slices.ContainsFunc(n.blocks, func(b block) bool { return !b.unset })
+}
+
 // Value is the effective value of a key and where it comes from.
 type Value struct {
 	Value string
@@ -55,22 +102,20 @@
 	if next.nodes == nil {
 		next.nodes = make(map[string]node)
 	}
-	copied := make(map[string]bool)
+	edited := make(map[string]*node)
 	for _, e := range edits {
-		if !copied[e.Path] {
-			copied[e.Path] = true
-			next.nodes[e.Path] = node{cloneKeys(t.nodes[e.Path].keys), revision}
+		n := edited[e.Path]
+		if n == nil {
+			c := t.nodes[e.Path].clone()
+			n = &c
+			edited[e.Path] = n
 		}
-		next.nodes[e.Path].keys[e.Key] = settingOf(e, revision)
+		n.put(e.Path, e.Key, settingOf(e, revision))
 	}
-	return next
-}
-
-func cloneKeys(keys map[string]Setting) map[string]Setting {
-	if keys == nil {
-		return make(map[string]Setting)
+	for path, n := range edited {
+		next.nodes[path] = *n
 	}
-	return maps.Clone(keys)
+	return next
 }
 
 func settingOf(e Edit, revision uint64) Setting {
@@ -82,8 +127,7 @@
 
 // At returns what path itself says of key, with false if it was never written.
 func (t *Tree) At(path, key string) (Setting, bool) {
-	s, ok := t.nodes[path].keys[key]
-	return s, ok
+	return t.nodes[path].get(key)
 }
 
 // Revision returns the newest revision that wrote to path itself.
@@ -93,7 +137,7 @@
 // the tree which sets it, or the key's default.
 func (t *Tree) Get(path, key string) Value {
 	for p, ok := path, true; ok; p, ok = Parent(p) {
-		if s, found := t.nodes[p].keys[key]; found && !s.Unset {
+		if s, found := t.nodes[p].get(key); found && !s.Unset {
 			return Value{Value: s.Value, From: p, Revision: s.Revision}
 		}
 	}
@@ -137,7 +181,7 @@
 func (t *Tree) Paths() []string {
 	paths := make([]string, 0, len(t.nodes))
 	for p, n := range t.nodes {
-		if isSet(n) {
+		if n.isSet() {
 			paths = append(paths, p)
 		}
 	}
@@ -145,30 +189,24 @@
 	return paths
 }
 
-func isSet(n node) bool {
-	for _, s := range n.keys {
-		if !s.Unset {
-			return true
-		}
-	}
-	return false
+// AllPaths returns the paths at which any key was ever written, in order.
+func (t *Tree) AllPaths() []string {
+	paths := slices.Collect(maps.Keys(t.nodes))
+	slices.Sort(paths)
+	return paths
 }
 
 // Node calls visit with every key written at path, also those unset, in no
 // particular order.
 func (t *Tree) Node(path string, visit func(key string, s Setting)) {
-	for k, s := range t.nodes[path].keys {
-		visit(k, s)
-	}
+	t.nodes[path].each(visit)
 }
 
 // Walk calls visit with every key written in the tree, also those unset, in no
 // particular order.
 func (t *Tree) Walk(visit func(path, key string, s Setting)) {
 	for p, n := range t.nodes {
-		for k, s := range n.keys {
-			visit(p, k, s)
-		}
+		n.each(func(key string, s Setting) { visit(p, key, s) })
 	}
 }
 
@@ -181,11 +219,7 @@
 		b.tree.nodes = make(map[string]node)
 	}
 	n := b.tree.nodes[path]
-	if n.keys == nil {
-		n.keys = make(map[string]Setting)
-	}
-	n.keys[key] = s
-	n.revision = max(n.revision, s.Revision)
+	n.put(path, key, s)
 	b.tree.nodes[path] = n
 }
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -173,7 +173,7 @@
 	fmt.Fprintf(&b, "[platform]\naddress = http://%s\ntimeout = 1s\n\n", f.platformFor(n.ID))
 	fmt.Fprintf(&b, "[agent]\npeer = %s\noperator = %s\nseeds = %s\n\n", a.Peer, a.Operator, f.seeds())
 	fmt.Fprintf(&b, "[director]\nlisten = %s\ndebug = %s\n\n", a.Director, a.DirectorDebug)
-	fmt.Fprintf(&b, "[entry]\nlisten = %s\ndebug = %s\nlinger = %s\n", a.Entry, a.EntryDebug, f.Spec.Linger)
+	fmt.Fprintf(&b, "[entry]\nlisten = %s\ndebug = %s\nlinger = %s\n\n[log]\nverbosity = 1\n", a.Entry, a.EntryDebug, f.Spec.Linger)
 	return b.String()
 }
 
--- a/test/fleet/proc.go
+++ b/test/fleet/proc.go
@@ -24,6 +24,9 @@
 // Signal sends a signal to the process.
 func (p *Proc) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// PID returns the process's id.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
 // Done closes when the process has ended.
 func (p *Proc) Done() <-chan struct{} { return p.done }
 
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -30,6 +30,15 @@
 				},
 				Action: measureFleets,
 			},
+			{
+				Name:  "processes",
+				Usage: "memory of real processes with client blocks loaded, and the start of a new instance",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the binaries"},
+					&cli.IntFlag{Name: "blocks", Value: blocks},
+				},
+				Action: measureProcesses,
+			},
 			{Name: "memory", Usage: "bytes of memory per block, upstream, member and path", Action: measureMemory},
 		},
 	}
