Send each process only the upstreams that it decides by; make the settings page from code

Cause: with the 40,800 upstreams of the size to design for, an entry held 160 MB: it got every upstream of all 49 regions, though it sends to a few. The settings page did not exist, and written by hand it would drift.

--- a/cmd/loomkeel-agent/main.go
+++ b/cmd/loomkeel-agent/main.go
@@ -27,7 +27,7 @@
 )
 
 func main() {
-	cli.Main(cli.Daemon{Name: "loomkeel-agent", Usage: "follow the configuration and the other instances", Run: run})
+	cli.Main(cli.Daemon{Name: "loomkeel-agent", Usage: "follow the configuration and the other instances", Ballast: process.BallastControl, Run: run})
 }
 
 func run(ctx context.Context, s *settings.Settings) error {
--- a/cmd/loomkeel-director/main.go
+++ b/cmd/loomkeel-director/main.go
@@ -24,7 +24,7 @@
 const stopTimeout = 5 * time.Second
 
 func main() {
-	cli.Main(cli.Daemon{Name: "loomkeel-director", Usage: "answer look-ups: which entry instances to use", Run: run})
+	cli.Main(cli.Daemon{Name: "loomkeel-director", Usage: "answer look-ups: which entry instances to use", Ballast: process.BallastLookups, Run: run})
 }
 
 // dump is everything that the process decides by.
--- a/cmd/loomkeel-entry/main.go
+++ b/cmd/loomkeel-entry/main.go
@@ -23,7 +23,7 @@
 )
 
 func main() {
-	cli.Main(cli.Daemon{Name: "loomkeel-entry", Usage: "carry requests to upstreams", Run: run})
+	cli.Main(cli.Daemon{Name: "loomkeel-entry", Usage: "carry requests to upstreams", Ballast: process.BallastCarrier, Run: run})
 }
 
 func run(ctx context.Context, s *settings.Settings) error {
--- a/internal/agent/node.go
+++ b/internal/agent/node.go
@@ -62,6 +62,9 @@
 	started  bool
 	revision uint64
 	list     uint64
+	// upstreams is how many upstreams were sent; a change of the settings can
+	// change which ones the process needs.
+	upstreams int
 }
 
 func (f *follower) send(a *Agent, newest uint64, list model.Directory, members []membership.Member, send func(*pb.View) error) error {
@@ -79,10 +82,11 @@
 		}
 		v.Revision = revision
 	}
-	if !f.started || list.Version > f.list {
-		v.Directory = rpc.DirectoryToProto(list)
+	needed := f.needed(a, list)
+	if !f.started || list.Version > f.list || len(needed.Upstreams) != f.upstreams {
+		v.Directory = rpc.DirectoryToProto(needed)
 	}
-	f.started, f.revision, f.list = true, v.Revision, list.Version
+	f.started, f.revision, f.list, f.upstreams = true, v.Revision, list.Version, len(needed.Upstreams)
 	if err := send(v); err != nil {
 		return err
 	}
@@ -92,6 +96,20 @@
 	return nil
 }
 
+// needed returns the part of the directory that the process decides by. A
+// director only needs to know which services there are and where; an entry the
+// upstreams of the regions that it may send to.
+func (f *follower) needed(a *Agent, list model.Directory) model.Directory {
+	_, t, _ := a.log.View()
+	switch f.process {
+	case ProcessDirector:
+		return model.Places(list)
+	case ProcessEntry:
+		return model.Reachable(t, a.opt.Self.Region, list)
+	}
+	return list
+}
+
 // sendSnapshot sends the state in parts and returns its revision. An entry has no
 // use for the blocks of client addresses, which are by far the most of it.
 func (f *follower) sendSnapshot(a *Agent, send func(*pb.View) error) (uint64, error) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,6 +17,8 @@
 type Daemon struct {
 	Name  string
 	Usage string
+	// Ballast is the size in bytes for process.InitMemory.
+	Ballast int
 	// Run works until ctx ends.
 	Run func(ctx context.Context, s *settings.Settings) error
 }
@@ -38,7 +40,7 @@
 				return err
 			}
 			process.InitLog(s.Log.Verbosity)
-			process.InitMemory()
+			process.InitMemory(d.Ballast)
 			ctx, stop := process.Signals(ctx)
 			defer stop()
 			return d.Run(ctx, s)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -48,18 +48,21 @@
 	// gcPercent lets the heap grow by half, not to double, between collections:
 	// an instance is small, and control may take only a part of it.
 	gcPercent = 50
-	// ballastBytes counts as heap but is never touched, so it takes no memory.
+	// Ballast counts as heap but is never touched, so it takes no memory itself.
 	// With a heap of few megabytes the collector would otherwise run every few
 	// hundred requests.
-	ballastBytes = 32 << 20
+	BallastControl = 4 << 20
+	BallastLookups = 16 << 20
+	BallastCarrier = 32 << 20
 )
 
 var ballast []byte
 
-// InitMemory sets the collector's pace, unless GOGC does.
-func InitMemory() {
+// InitMemory sets the collector's pace, unless GOGC does. Ballast is one of the
+// sizes above.
+func InitMemory(bytes int) {
 	if os.Getenv("GOGC") == "" {
-		ballast = make([]byte, ballastBytes)
+		ballast = make([]byte, bytes)
 		debug.SetGCPercent(gcPercent)
 	}
 }
--- /dev/null
+++ b/internal/settings/markdown.go
@@ -0,0 +1,27 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Markdown describes every key of the settings file, for docs/SETTINGS.md.
+func Markdown() string {
+	var b strings.Builder
+	t := reflect.TypeFor[Settings]()
+	for i := range t.NumField() {
+		section := t.Field(i)
+		fmt.Fprintf(&b, "### [%s]\n\n| key | default | allowed | meaning |\n| --- | --- | --- | --- |\n", section.Tag.Get("ini"))
+		for j := range section.Type.NumField() {
+			f := section.Type.Field(j)
+			def := f.Tag.Get("default")
+			if f.Tag.Get("required") == "true" {
+				def = "*required*"
+			}
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", f.Tag.Get("ini"), def, Allowed(f), f.Tag.Get("doc"))
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -22,6 +22,8 @@
 	Nodes []Node
 	// Groups are the upstreams.
 	Groups []Group
+	// Phantoms are further upstreams that only the platform's list names.
+	Phantoms []platform.Instance
 	// Work is how long a request takes at an upstream.
 	Work time.Duration
 	// Relays puts a relay between each node and the platform, and between the
@@ -81,7 +83,7 @@
 	if err := f.addRelays(instances); err != nil {
 		return nil, err
 	}
-	if err := f.writeList("instances.json", instances); err != nil {
+	if err := f.writeList("instances.json", append(instances, spec.Phantoms...)); err != nil {
 		return nil, err
 	}
 	for _, n := range spec.Nodes {
--- a/test/slopes/fleet.go
+++ b/test/slopes/fleet.go
@@ -41,7 +41,7 @@
 	klog.SetOutput(nil)
 	klog.LogToStderr(false)
 	fmt.Println("machine:", machine())
-	fmt.Println("agents domains | idle: B/s/agent cpu%/agent store/s | role B/s idle | per change: B/agent cpu_us/agent store calls | in force p50 p99 max")
+	fmt.Println("agents domains | idle: B/s/agent cpu%/agent store/s | role B/s idle | role B per change with what is idle meanwhile | per change: B/agent cpu_us/agent store calls | in force p50 p99 max")
 	for _, n := range c.IntSlice("agents") {
 		if err := measureFleet(ctx, c, n); err != nil {
 			return err
@@ -111,26 +111,27 @@
 	for _, m := range c.members {
 		domains[m.Table().Self().Domain] = true
 	}
-	fmt.Printf("%6d %7d | %8.0f %8.3f %8.1f | %s | %8.0f %8.1f %6.1f | %v %v %v\n",
-		n, len(domains), idleBytes/float64(n), 100*idleCPU/float64(n), idleCalls, c.roles(before, idle, idleFor),
+	fmt.Printf("%6d %7d | %8.0f %8.3f %8.1f | %s | %s | %8.0f %8.1f %6.1f | %v %v %v\n",
+		n, len(domains), idleBytes/float64(n), 100*idleCPU/float64(n), idleCalls,
+		c.roles(before, idle, idleFor), c.roles(idle, after, float64(changes)),
 		(busyBytes-idleBytes*busyFor)/float64(n*changes),
 		1e6*(busyCPU-idleCPU*busyFor)/float64(n*changes),
 		(busyCalls-idleCalls*busyFor)/float64(changes),
 		quantile(times, 0.5), quantile(times, 0.99), quantile(times, 1))
 }
 
-// roles returns the mean bytes per second by role while idle.
-func (c *cluster) roles(before, idle usage, seconds float64) string {
+// roles returns the mean bytes by role between two times, divided by per.
+func (c *cluster) roles(from, to usage, per float64) string {
 	total, count := make(map[string]int64), make(map[string]int64)
 	for i, m := range c.members {
 		role := roleOf(m)
-		total[role] += idle.bytes["all"][i] - before.bytes["all"][i]
+		total[role] += to.bytes["all"][i] - from.bytes["all"][i]
 		count[role]++
 	}
 	s := ""
 	for _, role := range []string{"reader", "inner", "leaf"} {
 		if count[role] > 0 {
-			s += fmt.Sprintf("%s %.0f ", role, float64(total[role])/float64(count[role])/seconds)
+			s += fmt.Sprintf("%s %.0f ", role, float64(total[role])/float64(count[role])/per)
 		}
 	}
 	return s
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -36,6 +36,7 @@
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the binaries"},
 					&cli.IntFlag{Name: "blocks", Value: blocks},
+					&cli.IntFlag{Name: "upstreams", Value: upstreams, Usage: "upstreams in the platform's list of which nothing runs"},
 				},
 				Action: measureProcesses,
 			},
--- a/test/slopes/processes.go
+++ b/test/slopes/processes.go
@@ -13,6 +13,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/command"
 	"github.com/loomkeel/loomkeel/internal/configlog"
+	"github.com/loomkeel/loomkeel/internal/platform"
 	"github.com/loomkeel/loomkeel/test/fleet"
 )
 
@@ -35,6 +36,7 @@
 		spec.Nodes = append(spec.Nodes, fleet.Node{ID: "n-" + d, Region: "muscat", Domain: "muscat-" + d})
 		spec.Groups = append(spec.Groups, fleet.Group{Service: "stock", Region: "muscat", Domain: "muscat-" + d, Count: 8, Slots: 9})
 	}
+	spec.Phantoms = phantoms(c.Int("upstreams"))
 	f, err := fleet.New(c.String("bin"), dir, spec)
 	if err != nil {
 		return err
@@ -59,6 +61,19 @@
 	return restart(f, revision)
 }
 
+// phantoms are upstreams of which nothing runs.
+func phantoms(n int) []platform.Instance {
+	out := make([]platform.Instance, n)
+	for i := range out {
+		out[i] = platform.Instance{
+			ID: fmt.Sprintf("phantom-%d", i), Kind: platform.KindUpstream, Service: fmt.Sprintf("service-%d", i%40),
+			Region: fmt.Sprintf("region-%d", i%regions), Domain: fmt.Sprintf("domain-%d", i%101),
+			Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, byte(i>>8), byte(i)), Slots: 9, Connections: 400,
+		}
+	}
+	return out
+}
+
 func loadBlocks(ctx context.Context, f *fleet.Fleet, n int) (uint64, error) {
 	client := f.Client("n-a")
 	var revision uint64
