--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 	maxEjected = 0.5
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.1
+	// probeEvery is the time between requests that look whether a region most of
+	// which failed is well again.
+	probeEvery = 100 * time.Millisecond
 	// shedFor is how long an upstream that shed load is taken for full. It says
 	// nothing about the others.
 	shedFor = 50 * time.Millisecond
@@ -70,6 +74,7 @@
 	mu       sync.Mutex
 	warmup   time.Duration
 	byID     map[string]*member
+	all      []*member
 	regions  map[string][]*member
 	draining func(u *model.Upstream, now time.Time) bool
 	// meanOthers is the mean of others over slots, for upstreams without a
@@ -77,11 +82,13 @@
 	meanOthers float64
 	// inFlight counts the own requests per region.
 	inFlight map[string]int
+	// probeAt is when a region most of which fails may next be tried first.
+	probeAt map[string]time.Time
 }
 
 // NewGroup returns an empty Group.
 func NewGroup() *Group {
-	return &Group{byID: make(map[string]*member), inFlight: make(map[string]int)}
+	return &Group{byID: make(map[string]*member), inFlight: make(map[string]int), probeAt: make(map[string]time.Time)}
 }
 
 // Update takes in a new snapshot of the service. Upstreams that were not in the
@@ -91,7 +98,7 @@
 	defer g.mu.Unlock()
 	first := len(g.byID) == 0
 	g.warmup, g.draining = svc.Warmup, draining
-	g.regions = make(map[string][]*member)
+	g.regions, g.all = make(map[string][]*member), nil
 	seen := make(map[string]bool)
 	for _, u := range svc.Upstreams {
 		seen[u.ID] = true
@@ -104,6 +111,7 @@
 			g.byID[u.ID] = m
 		}
 		m.Upstream, m.gone = u, false
+		g.all = append(g.all, m)
 		g.regions[u.Region] = append(g.regions[u.Region], m)
 	}
 	for id, m := range g.byID {
@@ -143,7 +151,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	usable := false
-	for _, region := range req.Regions {
+	for _, region := range g.order(req.Regions, now) {
 		candidates := g.candidates(region, req.Tried, now)
 		usable = usable || len(candidates) > 0
 		if len(candidates) == 0 || req.Allowed != nil && !req.Allowed(region, g.inFlight[region]) {
@@ -161,12 +169,50 @@
 	return Choice{}, ErrNoUpstream
 }
 
+// order returns the regions with those last of which most upstreams fail. Every
+// probeEvery one request still tries such a region in its turn, to see whether
+// it is well again.
+func (g *Group) order(regions []string, now time.Time) []string {
+	var last []string
+	for i, r := range regions {
+		if !g.unwell(r, now) {
+			continue
+		}
+		if !now.Before(g.probeAt[r]) {
+			g.probeAt[r] = now.Add(probeEvery)
+			continue
+		}
+		if last == nil {
+			regions = slices.Clone(regions)
+		}
+		regions[i] = ""
+		last = append(last, r)
+	}
+	if last == nil {
+		return regions
+	}
+	return append(slices.DeleteFunc(regions, func(r string) bool { return r == "" }), last...)
+}
+
+// unwell reports whether more than half of a region's upstreams are ejected or
+// fail again and again.
+func (g *Group) unwell(region string, now time.Time) bool {
+	bad := 0
+	all := g.regions[region]
+	for _, m := range all {
+		if m.ejected(now) || m.failures >= ejectAfter {
+			bad++
+		}
+	}
+	return float64(bad) > maxEjected*float64(len(all))
+}
+
 // candidates returns the upstreams of a region that may get work.
 func (g *Group) candidates(region string, tried []string, now time.Time) []*member {
 	all := g.regions[region]
 	out := make([]*member, 0, len(all))
 	for _, m := range all {
-		if !m.ejected(now) && !contains(tried, m.ID) && !g.leaves(m, now) {
+		if !m.ejected(now) && !slices.Contains(tried, m.ID) && !g.leaves(m, now) {
 			out = append(out, m)
 		}
 	}
@@ -177,15 +223,6 @@
 	return now.Before(m.drainUntil) || g.draining(&m.Upstream, now)
 }
 
-func contains(ids []string, id string) bool {
-	for _, i := range ids {
-		if i == id {
-			return true
-		}
-	}
-	return false
-}
-
 // choose takes the less loaded of two random upstreams, or the least loaded of
 // all if both are full; nil if all are.
 func (g *Group) choose(ms []*member, now time.Time, rnd *rand.Rand) *member {
@@ -259,6 +296,9 @@
 	Shed
 	// Failed means no answer came, or a broken one.
 	Failed
+	// Unreachable means that not even a connection was to be had. Once is enough
+	// for an ejection.
+	Unreachable
 	// Abandoned means the caller went away or ran out of time with no fault of
 	// the upstream to be seen.
 	Abandoned
@@ -305,8 +345,11 @@
 		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
 	case Shed:
 		m.shedUntil = now.Add(shedFor)
-	case Failed:
+	case Failed, Unreachable:
 		m.failures++
+		if r == Unreachable {
+			m.failures = max(m.failures, ejectAfter)
+		}
 		if m.failures >= ejectAfter {
 			g.eject(m, now)
 		}
@@ -336,7 +379,7 @@
 // counts as idle, so that one report of a full one does not fill them all.
 func (g *Group) updateMean(now time.Time) {
 	var others, slots float64
-	for _, m := range g.byID {
+	for _, m := range g.all {
 		slots += float64(max(m.Slots, 1))
 		if !m.reported.IsZero() && now.Sub(m.reported) < reportDecay {
 			others += m.others
--- a/internal/balance/group_test.go
+++ b/internal/balance/group_test.go
@@ -142,6 +142,35 @@
 	}
 }
 
+// TestDeadRegionOverflows makes a region's upstreams unreachable: requests must
+// go on to the next region, but for those that look whether it is well again.
+func TestDeadRegionOverflows(t *testing.T) {
+	r := newRig(service(6, 4, "muscat", "sohar"))
+	local := 0
+	for range 1000 {
+		c := r.pick(t, "muscat", "sohar")
+		if c.Region == "muscat" {
+			local++
+			r.Done(r.now, c, Report{Result: Unreachable, Load: -1})
+		} else {
+			r.Done(r.now, c, Report{Load: 1})
+		}
+		r.now = r.now.Add(time.Millisecond)
+	}
+	// Once for each upstream, and then ten times a second.
+	if local > 6+10 {
+		t.Errorf("%d of 1000 requests in a second went to the dead region", local)
+	}
+	for range 100 {
+		c := r.pick(t, "muscat", "sohar")
+		r.Done(r.now, c, Report{Load: 1})
+		r.now = r.now.Add(probeEvery)
+	}
+	if c := r.pick(t, "muscat", "sohar"); c.Region != "muscat" {
+		t.Error("the region is well, but gets no requests")
+	}
+}
+
 func TestColdUpstreamWarmsUp(t *testing.T) {
 	s := service(1, 10, "muscat")
 	r := newRig(s)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -24,6 +24,8 @@
 	body     *replayBody
 	// tried holds the upstreams that the request was sent to.
 	tried []string
+	// failed is the region of the last failed attempt.
+	failed string
 	// outcome joins the verdicts of the attempts so far.
 	outcome verdict.Verdict
 }
@@ -96,3 +98,17 @@
 func (c *call) notRunStatus(status int) bool {
 	return slices.Contains(c.service.NotRunStatuses, status)
 }
+
+// after returns the regions for the next attempt. One in which two attempts
+// failed in a row goes last; a shed is no failure.
+func (c *call) after(err *verdict.Error, region string, regions []string) []string {
+	if err.Reason == reasonShed {
+		return regions
+	}
+	if c.failed != region {
+		c.failed = region
+		return regions
+	}
+	rest := slices.DeleteFunc(slices.Clone(regions), func(r string) bool { return r == region })
+	return append(rest, region)
+}
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -35,8 +35,15 @@
 	Room int
 	// TLS is for upstreams; nil means plain HTTP.
 	TLS *tls.Config
+	// Transport replaces the one that NewTransport makes; nil means that one.
+	// Without connections of its own kind the Carrier takes every attempt that
+	// got a connection for one that may have run.
+	Transport http.RoundTripper
 	// Now is the clock.
 	Now func() time.Time
+	// Rand returns the source for the random choices of one decision; nil means
+	// one seeded from the process's own.
+	Rand func() *rand.Rand
 	// Book holds the own shares of the caps, by the clock Boot.
 	Book *share.Book
 	Boot func() int64
@@ -81,7 +88,13 @@
 
 // New returns a Carrier that refuses everything until its first Update.
 func New(opt Options) *Carrier {
-	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: NewTransport(opt.TLS), lanes: make(map[string]*lane)}
+	if opt.Transport == nil {
+		opt.Transport = NewTransport(opt.TLS)
+	}
+	if opt.Rand == nil {
+		opt.Rand = newRand
+	}
+	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane)}
 	if opt.TLS != nil {
 		c.scheme = "https"
 	}
@@ -209,6 +222,7 @@
 			err = brokenAnswer(ans)
 		}
 		c.done(l, choice, reportFor(err))
+		regions = cl.after(err, choice.Region, regions)
 		cl.outcome = verdict.Join(cl.outcome, err.Verdict)
 		last = err
 		if !c.mayRetry(ctx, cl, l, err, out.Attempts) {
@@ -256,6 +270,8 @@
 	switch err.Reason {
 	case reasonShed:
 		r.Result = balance.Shed
+	case reasonUnreachable:
+		r.Result = balance.Unreachable
 	case reasonCallerGone, reasonBodyUsed:
 		r.Result = balance.Abandoned
 	}
@@ -337,7 +353,7 @@
 	}
 	req := balance.Request{Regions: regions, Allowed: c.allowed(svc), Tried: cl.tried}
 	if l.queue.Len() == 0 {
-		choice, err := l.group.Pick(now, newRand(), req)
+		choice, err := l.group.Pick(now, c.opt.Rand(), req)
 		if err == nil {
 			return choice, nil
 		}
@@ -348,7 +364,7 @@
 	return c.wait(ctx, l, req, svc.Queue, d.GiveUp)
 }
 
-// newRand returns a source for one decision, seeded from the process's own.
+// newRand returns a source seeded from the process's own.
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // allowed keeps the requests in flight in a region within the own share of its
@@ -372,7 +388,7 @@
 	for {
 		select {
 		case <-t.Ready():
-			choice, err := l.group.Pick(c.now(), newRand(), req)
+			choice, err := l.group.Pick(c.now(), c.opt.Rand(), req)
 			if err == nil {
 				return choice, nil
 			}
