Answer a body that is too large for what it is

Cause: a request body over max_body ended as 502 may-have-run and counted as a failure of the upstream, so that callers could have healthy upstreams ejected. Ruled out: uploads that the caller cuts, which were counted as abandoned already.

Change: a told length over the bound is refused as 413 not-run before anything is sent; a body that grows over it, or breaks off, ends as 413 or 400 and says nothing about the upstream.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 export GOTOOLCHAIN = local
 
-.PHONY: build run up test lint generate overhead slopes ablate
+.PHONY: build run up test lint generate overhead slopes measure ablate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -40,6 +40,10 @@
 	$(GO) run ./test/slopes fleet --agents 32,96,192 --idle 15s
 	$(GO) run ./test/slopes fleet --agents 32,96,192 --idle 15s --ghosts 3008
 
+# Both users' deployments at their true sizes, under load and faults.
+measure: build
+	$(GO) run ./test/measure -bin bin
+
 # Switches one mechanism off at a time and expects its proof to fail.
 ablate:
 	$(GO) run ./test/ablate
--- a/cmd/loomkeel-director/main.go
+++ b/cmd/loomkeel-director/main.go
@@ -38,6 +38,10 @@
 	if err != nil {
 		return eris.Wrap(err, "peer certificates")
 	}
+	serverTLS, err := tlsconf.Server(s.TLS)
+	if err != nil {
+		return eris.Wrap(err, "certificate")
+	}
 	dialer := rpc.NewDialer(clientTLS, nil)
 	defer dialer.Close()
 	d := director.New(time.Now)
@@ -53,7 +57,7 @@
 		return eris.Wrap(err, "debug address")
 	}
 	go debugServer.Serve()
-	srv, err := process.Listen(s.Director.Listen, d.Handler())
+	srv, err := process.ListenTLS(s.Director.Listen, d.Handler(), serverTLS)
 	if err != nil {
 		return eris.Wrap(err, "listen address")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,9 +151,3 @@
 	klog.InfoS("stopped", "in_flight", e.Carrier.InFlight(), "err", err)
 	return err
 }
-
-// Handler returns the interface to callers with a bound on request bodies in
-// bytes.
-func (e *Entry) Handler(maxBody int64) http.Handler {
-	return http.MaxBytesHandler(e.Carrier, maxBody)
-}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,6 +27,10 @@
 	reasonMismatch    = "answer-mismatch"
 	reasonUnframed    = "answer-unframed"
 	reasonBodyUsed    = "body-not-repeatable"
+	// reasonCallerBody and reasonTooLarge are for bodies that the caller broke
+	// off or that are over the bound.
+	reasonCallerBody = "caller-body-broken"
+	reasonTooLarge   = "body-too-large"
 )
 
 // wholeLimit is the largest answer in bytes that is read whole before the first
@@ -52,7 +56,7 @@
 	out := c.request(watch.context(ctx), r, cl, to, body)
 	resp, err := c.transport.RoundTrip(out)
 	if err != nil {
-		return nil, sendError(ctx, &watch, err)
+		return nil, sendError(ctx, cl, &watch, err)
 	}
 	if cl.notRunStatus(resp.StatusCode) {
 		e := verdict.New(verdict.NotRun, reasonShed, fmt.Errorf("upstream answered %s", resp.Status))
@@ -88,16 +92,22 @@
 }
 
 // sendError gives the verdict of an attempt that got no answer.
-func sendError(ctx context.Context, watch *sendWatch, err error) *verdict.Error {
+func sendError(ctx context.Context, cl *call, watch *sendWatch, err error) *verdict.Error {
 	v := verdict.MayHaveRun
 	if watch.nothingSent() {
 		v = verdict.NotRun
 	}
+	var tooLarge *http.MaxBytesError
+	callerErr := cl.body.callerError()
 	switch {
+	case errors.As(callerErr, &tooLarge):
+		return verdict.New(v, reasonTooLarge, callerErr)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.New(v, reasonTimeout, err)
 	case ctx.Err() != nil:
 		return verdict.New(v, reasonCallerGone, err)
+	case callerErr != nil:
+		return verdict.New(v, reasonCallerBody, callerErr)
 	case v == verdict.NotRun:
 		return verdict.New(v, reasonUnreachable, err)
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -75,6 +75,19 @@
 	return n, err
 }
 
+// callerError returns the error, other than its end, that reading the caller's
+// body gave. It returns nil while the body is still being read.
+func (b *replayBody) callerError() error {
+	if !b.mu.TryLock() {
+		return nil
+	}
+	defer b.mu.Unlock()
+	if errors.Is(b.err, io.EOF) {
+		return nil
+	}
+	return b.err
+}
+
 func (b *replayBody) keep(p []byte) {
 	if b.over {
 		return
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -33,6 +33,8 @@
 type Options struct {
 	// Room is how many requests may be in the entry at one time.
 	Room int
+	// MaxBody is the largest request body in bytes; 0 means no bound.
+	MaxBody int64
 	// TLS is for upstreams; nil means plain HTTP.
 	TLS *tls.Config
 	// Transport replaces the one that NewTransport makes; nil means that one.
@@ -159,6 +161,13 @@
 		return
 	}
 	out.Service = cl.service.Name
+	if c.opt.MaxBody > 0 {
+		if r.ContentLength > c.opt.MaxBody {
+			out.refused(w, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, verdict: verdict.NotRun})
+			return
+		}
+		cl.body.src = http.MaxBytesReader(w, r.Body, c.opt.MaxBody)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), cl.deadline)
 	defer cancel()
 	c.serve(ctx, w, r, snap, cl, &out)
@@ -272,7 +281,7 @@
 		r.Result = balance.Shed
 	case reasonUnreachable:
 		r.Result = balance.Unreachable
-	case reasonCallerGone, reasonBodyUsed:
+	case reasonCallerGone, reasonBodyUsed, reasonCallerBody, reasonTooLarge:
 		r.Result = balance.Abandoned
 	}
 	return r
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -310,4 +310,34 @@
 	if n := len(f.receipts()); n != 0 {
 		t.Errorf("%d cut uploads were taken for whole", n)
 	}
+	for _, u := range e.Dump()["orders"].Upstreams {
+		if u.Failures != 0 {
+			t.Errorf("%d cut uploads count as failures of the upstream", u.Failures)
+		}
+	}
+}
+
+// TestTooLargeUpload refuses a body over the bound before it is sent, and cuts
+// one whose length is not told.
+func TestTooLargeUpload(t *testing.T) {
+	f := newFake(t)
+	e := newEntry(t, []*fake{f})
+	e.opt.MaxBody = 1000
+	a := e.send(t, "POST", "/photo", strings.Repeat("x", 5000))
+	if a.status != http.StatusRequestEntityTooLarge || a.verdict(t) != verdict.MayHaveRun {
+		t.Errorf("status %d, told %v", a.status, a.verdict(t))
+	}
+	req, _ := http.NewRequest("POST", e.url+"/photo", strings.NewReader(strings.Repeat("x", 5000)))
+	req.Header.Set(header.Service, "orders")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestEntityTooLarge || resp.Header.Get(verdict.Header) != "not-run" {
+		t.Errorf("with its length told: status %d, %s", resp.StatusCode, resp.Header.Get(verdict.Header))
+	}
+	if n := len(f.receipts()); n != 0 {
+		t.Errorf("%d ran", n)
+	}
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -77,6 +77,10 @@
 
 func statusFor(reason string, outcome verdict.Verdict) int {
 	switch {
+	case reason == reasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case reason == reasonCallerBody:
+		return http.StatusBadRequest
 	case outcome == verdict.NotRun:
 		return http.StatusServiceUnavailable
 	case reason == reasonTimeout:
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -65,6 +65,16 @@
 	g.peak = max(g.peak, g.now)
 }
 
+// Reset makes the peak what is in flight now.
+func (g *Gauge) Reset() {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peak = g.now
+}
+
 // Peak returns the largest number of requests in flight at one time.
 func (g *Gauge) Peak() int {
 	if g == nil {
@@ -115,6 +125,7 @@
 	r := chi.NewRouter()
 	r.Get("/-/runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(u.Runs()) })
 	r.Get("/-/peak", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, u.Gauge.Peak()) })
+	r.Post("/-/peak/reset", func(http.ResponseWriter, *http.Request) { u.Gauge.Reset() })
 	r.Post("/-/mode/{mode}", func(_ http.ResponseWriter, req *http.Request) { u.SetMode(chi.URLParam(req, "mode")) })
 	r.HandleFunc("/*", u.serve)
 	return r
--- /dev/null
+++ b/test/measure/main.go
@@ -0,0 +1,103 @@
+// Command measure runs both users' deployments at their true sizes as real
+// processes and prints what callers, upstreams and drains see: calm, rush,
+// overload, a drain, a failure domain lost, a region lost. Latency between
+// regions is not emulated.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/loomkeel/loomkeel/test/fleet"
+)
+
+// service is one service of a deployment.
+type service struct {
+	name    string
+	method  string
+	repeat  string
+	targets int
+	slots   int
+	// work is how long one request takes. The users give none; these are chosen
+	// so that all slots together are within what this machine can load.
+	work     time.Duration
+	deadline time.Duration
+}
+
+// deployment is one user's.
+type deployment struct {
+	name     string
+	regions  []string
+	services []service
+}
+
+var deployments = []deployment{
+	{"garden centres", []string{"muscat", "batinah", "dakhiliyah"}, []service{
+		{"stock", "GET", "safe", 24, 9, 100 * time.Millisecond, 2 * time.Second},
+		{"orders", "POST", "unsafe", 12, 6, 100 * time.Millisecond, 5 * time.Second},
+		{"design", "POST", "unsafe", 12, 3, 100 * time.Millisecond, 5 * time.Second},
+	}},
+	{"authority", []string{"muscat", "sohar", "salalah"}, []service{
+		{"history", "GET", "safe", 18, 6, 100 * time.Millisecond, 2 * time.Second},
+		{"adjustments", "POST", "unsafe", 12, 5, 100 * time.Millisecond, 5 * time.Second},
+		{"intake", "POST", "unsafe", 12, 3, 100 * time.Millisecond, 5 * time.Second},
+	}},
+}
+
+func main() {
+	bin := flag.String("bin", "bin", "directory of the binaries")
+	phase := flag.Duration("phase", 8*time.Second, "length of each phase")
+	flag.Parse()
+	for _, d := range deployments {
+		if err := measure(*bin, d, *phase); err != nil {
+			fmt.Fprintf(os.Stderr, "measure: %s: %v\n", d.name, err)
+			os.Exit(1)
+		}
+	}
+}
+
+// spec has two instances in each failure domain, twelve in all.
+func (d deployment) spec() fleet.Spec {
+	s := fleet.Spec{Linger: time.Second, Work: d.services[0].work}
+	for _, region := range d.regions {
+		for _, letter := range []string{"a", "b"} {
+			domain := region + "-" + letter
+			for i := range 2 {
+				s.Nodes = append(s.Nodes, fleet.Node{ID: fmt.Sprintf("%s-%d", domain, i), Region: region, Domain: domain})
+			}
+			for _, svc := range d.services {
+				s.Groups = append(s.Groups, fleet.Group{
+					Service: svc.name, Region: region, Domain: domain,
+					Count: svc.targets / (2 * len(d.regions)), Slots: svc.slots,
+				})
+			}
+		}
+	}
+	return s
+}
+
+func measure(bin string, d deployment, phase time.Duration) error {
+	dir, err := os.MkdirTemp("", "loomkeel-measure-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f, err := fleet.New(bin, dir, d.spec())
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	if err := f.Start(); err != nil {
+		return err
+	}
+	b := &bench{fleet: f, deployment: d}
+	if err := b.configure(); err != nil {
+		return err
+	}
+	fmt.Printf("\n### %s: %d instances, %d upstreams\n\n", d.name, len(f.Nodes), len(f.Upstreams))
+	fmt.Println("| phase | service | sent | answered in time | p50 ms | p99 ms | p99.9 ms | not run | may have run | fullest region: peak of slots |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	return b.phases(phase)
+}
