--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -89,7 +89,7 @@
 	budget *balance.Budget
 	// sheds limits how often requests go on after a shed.
 	sheds *balance.Budget
-	shift  *shift.Meter
+	shift *shift.Meter
 }
 
 // New returns a Carrier that refuses everything until its first Update.
@@ -367,7 +367,7 @@
 		Now:   c.now(),
 		Moves: moves,
 		Cap:   cl.service.ShiftCap,
-		Rate:  snap.Tree.Float(tree.ServicePath(cl.service.Name), tree.KeyShiftRate),
+		Rate:  cl.service.ShiftRate,
 		Seen:  l.group.Seen,
 	})
 	if to == "" {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -45,6 +45,7 @@
 	Warmup         time.Duration
 	Lifetime       time.Duration
 	ShiftCap       float64
+	ShiftRate      float64
 	// Overflow lists the regions that may take requests, in order.
 	Overflow []string
 	// MaxInFlight caps the requests in flight per region; 0 means the sum of the
@@ -57,8 +58,6 @@
 type Link struct {
 	Region  string
 	Latency time.Duration
-	// Bytes is the cap in bytes a second, 0 for none.
-	Bytes int
 }
 
 // Snapshot is everything that the data path decides by. It is immutable.
@@ -125,7 +124,7 @@
 			return
 		}
 		path := tree.LinkPath(in.Region, region)
-		l := Link{Region: region, Latency: in.Tree.Duration(path, tree.KeyLatency), Bytes: in.Tree.Int(path, tree.KeyLinkBytes)}
+		l := Link{Region: region, Latency: in.Tree.Duration(path, tree.KeyLatency)}
 		if region == in.Region {
 			l = Link{Region: region}
 		}
@@ -169,6 +168,7 @@
 		Warmup:      t.Duration(path, tree.KeyWarmup),
 		Lifetime:    t.Duration(path, tree.KeyLifetime),
 		ShiftCap:    t.Float(tree.ServicePath(name), tree.KeyShiftCap),
+		ShiftRate:   t.Float(tree.ServicePath(name), tree.KeyShiftRate),
 		Overflow:    t.List(path, tree.KeyOverflow),
 		MaxInFlight: make(map[string]int),
 	}
--- a/internal/tree/key.go
+++ b/internal/tree/key.go
@@ -51,7 +51,6 @@
 	KeyDrainedDomains = "max_drained_domains"
 	KeyWeight         = "weight"
 	KeyLatency        = "latency"
-	KeyLinkBytes      = "bytes_per_second"
 	KeyService        = "service"
 	KeyRegion         = "region"
 	KeyDomain         = "domain"
@@ -102,7 +101,6 @@
 	integer(KeyDrainedDomains, "1", 0, 100, atRegion, "How many failure domains of a region may be drained at one time."),
 	number(KeyWeight, "1", 0, 1000, []Kind{KindRoot, KindRegion, KindDomain}, "Weight of the place's entries in look-ups."),
 	duration(KeyLatency, "35ms", 0, 10*time.Second, atLink, "One-way latency of the link."),
-	integer(KeyLinkBytes, "0", 0, 1<<40, atLink, "Cap on the link in bytes a second, both directions; 0 means none."),
 	{Name: KeyService, Allowed: "a service", Doc: "The service that the drain or move is for; a drain without one is for all.",
 		At: []Kind{KindDrain, KindMove}, check: checkName},
 	word(KeyRegion, "a region", atDrain, "The region that is drained."),
