Let a request wait for a slot after its sheds

Cause: with the sheds' budget spent, requests were refused though their deadline was far: at 90% of the slots 3% of stock and 10% of design requests. Ruled out: more sheds at once (150% load broke down with 12).

Change: beyond the budget a request waits in the queue, until one of the entry's own requests ends or 10 ms pass, before it goes on; 12 sheds at most, and queue_wait bounds the waits together.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -110,6 +110,14 @@
 // Ready receives a value when it is the ticket's turn to look for a slot.
 func (t *Ticket) Ready() <-chan struct{} { return t.ready }
 
+// Pass gives the present turn up, if it is the ticket's.
+func (t *Ticket) Pass() {
+	select {
+	case <-t.ready:
+	default:
+	}
+}
+
 // Len returns how many wait.
 func (q *Queue) Len() int {
 	q.mu.Lock()
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -223,8 +223,9 @@
 	// maxSheds is how often a request may be shed and go on. A shed ran nothing
 	// and costs an upstream little, so it counts neither as an attempt nor
 	// against the retry budget. It has a budget of its own, shedShare of recent
-	// successes, or under overload requests would spend themselves on sheds.
-	maxSheds  = 6
+	// successes; beyond that a request waits in the queue before it goes on, or
+	// under overload requests would spend themselves on sheds.
+	maxSheds  = 12
 	shedShare = 1.0
 	shedBurst = 20
 	// recheckEvery is how often the first in the queue looks for a slot that
@@ -237,9 +238,9 @@
 	l := c.lane(cl.service.Name)
 	regions := c.regions(snap, cl, l)
 	var last *verdict.Error
-	sheds := 0
+	sheds, patient := 0, false
 	for {
-		choice, err := c.take(ctx, cl, l, regions)
+		choice, err := c.take(ctx, cl, l, regions, patient)
 		if err != nil {
 			if last == nil || err.Verdict == verdict.MayHaveRun {
 				last = err
@@ -248,9 +249,10 @@
 		}
 		out.Upstream = choice.ID
 		ans, err := c.attempt(ctx, r, cl, choice)
-		if err != nil && err.Reason == reasonShed && sheds < maxSheds && l.sheds.Take() {
+		if err != nil && err.Reason == reasonShed && sheds < maxSheds {
 			sheds++
 			last = err
+			patient = !l.sheds.Take()
 			c.done(l, choice, reportFor(err))
 			continue
 		}
@@ -376,8 +378,9 @@
 	return append([]string{to}, order...)
 }
 
-// take admits the call and takes a slot, waiting in the queue if it has to.
-func (c *Carrier) take(ctx context.Context, cl *call, l *lane, regions []string) (balance.Choice, *verdict.Error) {
+// take admits the call and takes a slot, waiting in the queue if it has to. A
+// patient call waits in any case until a slot may have become free.
+func (c *Carrier) take(ctx context.Context, cl *call, l *lane, regions []string, patient bool) (balance.Choice, *verdict.Error) {
 	svc := cl.service
 	now := c.now()
 	wait := svc.QueueWait - now.Sub(cl.began)
@@ -399,7 +402,7 @@
 		return balance.Choice{}, verdict.New(verdict.NotRun, string(d.Reason), nil).After(d.RetryAfter)
 	}
 	req := balance.Request{Regions: regions, Allowed: c.allowed(svc), Tried: cl.tried}
-	if l.queue.Len() == 0 {
+	if l.queue.Len() == 0 && !patient {
 		choice, err := l.group.Pick(now, c.opt.Rand(), req)
 		if err == nil {
 			return choice, nil
@@ -408,7 +411,7 @@
 			return balance.Choice{}, verdict.New(verdict.NotRun, "no-upstream", err).After(stopRetry)
 		}
 	}
-	return c.wait(ctx, l, req, svc.Queue, d.GiveUp)
+	return c.wait(ctx, l, req, svc.Queue, d.GiveUp, patient)
 }
 
 // newRand returns a source seeded from the process's own.
@@ -423,13 +426,16 @@
 }
 
 // wait holds a place in the queue until a slot is free or it is time to give up.
-func (c *Carrier) wait(ctx context.Context, l *lane, req balance.Request, limit int, giveUp time.Time) (balance.Choice, *verdict.Error) {
+func (c *Carrier) wait(ctx context.Context, l *lane, req balance.Request, limit int, giveUp time.Time, patient bool) (balance.Choice, *verdict.Error) {
 	t, ok := l.queue.Join(limit)
 	if !ok {
 		after := admit.RetryAfter(l.queue.Len(), l.group.Latency(req.Regions[0]))
 		return balance.Choice{}, verdict.New(verdict.NotRun, string(admit.ReasonQueueFull), nil).After(after)
 	}
 	defer l.queue.Leave(t)
+	if patient {
+		t.Pass()
+	}
 	timer := time.NewTimer(giveUp.Sub(c.now()))
 	defer timer.Stop()
 	recheck := time.NewTicker(recheckEvery)
