Split the three largest files by their jobs

Change: forward: serve (attempts), slot (admission and queue), status; balance: load, health, status; membership: member, scope. No line of logic changed.

--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -7,7 +7,6 @@
 
 import (
 	"errors"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -181,44 +180,6 @@
 	return Choice{}, ErrNoUpstream
 }
 
-// order returns the regions with those last of which most upstreams fail. Every
-// probeEvery one request still tries such a region in its turn, to see whether
-// it is well again.
-func (g *Group) order(regions []string, now time.Time) []string {
-	var last []string
-	for i, r := range regions {
-		if !g.unwell(r, now) {
-			continue
-		}
-		if !now.Before(g.probeAt[r]) {
-			g.probeAt[r] = now.Add(probeEvery)
-			continue
-		}
-		if last == nil {
-			regions = slices.Clone(regions)
-		}
-		regions[i] = ""
-		last = append(last, r)
-	}
-	if last == nil {
-		return regions
-	}
-	return append(slices.DeleteFunc(regions, func(r string) bool { return r == "" }), last...)
-}
-
-// unwell reports whether more than half of a region's upstreams are ejected or
-// fail again and again.
-func (g *Group) unwell(region string, now time.Time) bool {
-	bad := 0
-	all := g.regions[region]
-	for _, m := range all {
-		if m.ejected(now) || m.failures >= ejectAfter {
-			bad++
-		}
-	}
-	return float64(bad) > maxEjected*float64(len(all))
-}
-
 // candidates returns the upstreams of a region that may get work.
 func (g *Group) candidates(region string, tried []string, now time.Time) []*member {
 	all := g.regions[region]
@@ -276,49 +237,6 @@
 	return best
 }
 
-// estimate is the number of requests at an upstream: the own ones, and those of
-// other entries as last reported, which give way to the mean as they age.
-func (g *Group) estimate(m *member, now time.Time) float64 {
-	w := 0.0
-	if !m.reported.IsZero() {
-		w = math.Exp(-float64(now.Sub(m.reported)) / float64(reportDecay))
-	}
-	others := w*m.others + (1-w)*g.meanOthers*float64(m.Slots)
-	return float64(m.inFlight) + others
-}
-
-// load is the estimate as a share of the slots that may be used. Failures in a
-// row count as load, so that one that claims to be idle while requests fail is
-// passed over.
-func (g *Group) load(m *member, now time.Time) float64 {
-	return (g.estimate(m, now) + float64(m.failures)) / g.slots(m, now)
-}
-
-func (g *Group) hasSlot(m *member, now time.Time) bool {
-	if now.Before(m.shedUntil) {
-		return false
-	}
-	return g.estimate(m, now)+1 <= g.slots(m, now)+0.5
-}
-
-// slots is how many requests an upstream may have now: fewer while it is cold,
-// at least one. One that fails again and again, but may not be ejected because
-// too many others are, gets one at a time: enough to see when it is well again,
-// while the rest goes to other regions.
-func (g *Group) slots(m *member, now time.Time) float64 {
-	if m.failures >= ejectAfter {
-		return 1
-	}
-	full := float64(max(m.Slots, 1))
-	if m.coldSince.IsZero() || g.warmup <= 0 {
-		return full
-	}
-	warm := float64(now.Sub(m.coldSince)) / float64(g.warmup)
-	return max(1, full*min(warm, 1))
-}
-
-func (m *member) ejected(now time.Time) bool { return now.Before(m.ejectedUntil) }
-
 // Result is how a request at an upstream ended.
 type Result uint8
 
@@ -368,121 +286,3 @@
 	g.updateMean(now)
 	g.forget(c.ID, m)
 }
-
-func (g *Group) judge(m *member, now time.Time, took time.Duration, r Result) {
-	switch r {
-	case OK:
-		m.failures, m.ejections = 0, 0
-		if m.latency == 0 {
-			m.latency = took
-		}
-		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
-	case Shed:
-		m.shedUntil = now.Add(shedFor)
-	case Failed, Unreachable:
-		m.failures++
-		if r == Unreachable {
-			m.failures = max(m.failures, ejectAfter)
-		}
-		if m.failures >= ejectAfter {
-			g.eject(m, now)
-		}
-	}
-}
-
-// eject takes an upstream out for a while, unless too many of its region are
-// out already.
-func (g *Group) eject(m *member, now time.Time) {
-	out := 0
-	peers := g.regions[m.Region]
-	for _, p := range peers {
-		if p != m && p.ejected(now) {
-			out++
-		}
-	}
-	if float64(out+1) > maxEjected*float64(len(peers)) {
-		return
-	}
-	d := min(ejectFirst<<min(m.ejections, 10), ejectLongest)
-	m.ejections++
-	m.failures = 0
-	m.ejectedUntil = now.Add(d)
-}
-
-// updateMean keeps the mean load by others. An upstream without a fresh report
-// counts as idle, so that one report of a full one does not fill them all.
-func (g *Group) updateMean(now time.Time) {
-	var others, slots float64
-	for _, m := range g.all {
-		slots += float64(max(m.Slots, 1))
-		if !m.reported.IsZero() && now.Sub(m.reported) < reportDecay {
-			others += m.others
-		}
-	}
-	g.meanOthers = 0
-	if slots > 0 {
-		g.meanOthers = others / slots
-	}
-}
-
-// Latency returns the mean latency over the upstreams of a region that have
-// answered, or 0.
-func (g *Group) Latency(region string) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var sum time.Duration
-	n := 0
-	for _, m := range g.regions[region] {
-		if m.latency > 0 {
-			sum += m.latency
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return sum / time.Duration(n)
-}
-
-// Seen returns when an upstream of a region last reported its load, or the zero
-// time.
-func (g *Group) Seen(region string) time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var last time.Time
-	for _, m := range g.regions[region] {
-		if m.reported.After(last) {
-			last = m.reported
-		}
-	}
-	return last
-}
-
-// InFlight returns the own requests in flight at a region's upstreams.
-func (g *Group) InFlight(region string) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.inFlight[region]
-}
-
-// Status is the state of one upstream, for dumps.
-type Status struct {
-	model.Upstream
-	InFlight int           `json:"in_flight"`
-	Estimate float64       `json:"estimate"`
-	Latency  time.Duration `json:"latency_ns"`
-	Failures int           `json:"failures"`
-	Ejected  bool          `json:"ejected"`
-	Draining bool          `json:"draining"`
-}
-
-// Dump returns the state of all upstreams.
-func (g *Group) Dump(now time.Time) []Status {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []Status
-	for _, m := range g.byID {
-		out = append(out, Status{m.Upstream, m.inFlight, g.estimate(m, now), m.latency, m.failures, m.ejected(now), g.leaves(m, now)})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/balance/health.go
@@ -0,0 +1,86 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// order returns the regions with those last of which most upstreams fail. Every
+// probeEvery one request still tries such a region in its turn, to see whether
+// it is well again.
+func (g *Group) order(regions []string, now time.Time) []string {
+	var last []string
+	for i, r := range regions {
+		if !g.unwell(r, now) {
+			continue
+		}
+		if !now.Before(g.probeAt[r]) {
+			g.probeAt[r] = now.Add(probeEvery)
+			continue
+		}
+		if last == nil {
+			regions = slices.Clone(regions)
+		}
+		regions[i] = ""
+		last = append(last, r)
+	}
+	if last == nil {
+		return regions
+	}
+	return append(slices.DeleteFunc(regions, func(r string) bool { return r == "" }), last...)
+}
+
+// unwell reports whether more than half of a region's upstreams are ejected or
+// fail again and again.
+func (g *Group) unwell(region string, now time.Time) bool {
+	bad := 0
+	all := g.regions[region]
+	for _, m := range all {
+		if m.ejected(now) || m.failures >= ejectAfter {
+			bad++
+		}
+	}
+	return float64(bad) > maxEjected*float64(len(all))
+}
+
+func (m *member) ejected(now time.Time) bool { return now.Before(m.ejectedUntil) }
+
+func (g *Group) judge(m *member, now time.Time, took time.Duration, r Result) {
+	switch r {
+	case OK:
+		m.failures, m.ejections = 0, 0
+		if m.latency == 0 {
+			m.latency = took
+		}
+		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
+	case Shed:
+		m.shedUntil = now.Add(shedFor)
+	case Failed, Unreachable:
+		m.failures++
+		if r == Unreachable {
+			m.failures = max(m.failures, ejectAfter)
+		}
+		if m.failures >= ejectAfter {
+			g.eject(m, now)
+		}
+	}
+}
+
+// eject takes an upstream out for a while, unless too many of its region are
+// out already.
+func (g *Group) eject(m *member, now time.Time) {
+	out := 0
+	peers := g.regions[m.Region]
+	for _, p := range peers {
+		if p != m && p.ejected(now) {
+			out++
+		}
+	}
+	if float64(out+1) > maxEjected*float64(len(peers)) {
+		return
+	}
+	d := min(ejectFirst<<min(m.ejections, 10), ejectLongest)
+	m.ejections++
+	m.failures = 0
+	m.ejectedUntil = now.Add(d)
+}
--- /dev/null
+++ b/internal/forward/serve.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/admit"
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/shift"
+	"github.com/loomkeel/loomkeel/internal/tree"
+	"github.com/loomkeel/loomkeel/internal/verdict"
+)
+
+const (
+	// retryBurst is how many retries may be made before any success.
+	retryBurst = 10
+	// maxSheds is how often a request may be shed and go on. A shed ran nothing
+	// and costs an upstream little, so it counts neither as an attempt nor
+	// against the retry budget. It has a budget of its own, shedShare of recent
+	// successes; beyond that a request waits in the queue before it goes on, or
+	// under overload requests would spend themselves on sheds.
+	maxSheds  = 12
+	shedShare = 1.0
+	shedBurst = 20
+)
+
+// serve runs attempts until one is answered or none may follow.
+func (c *Carrier) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, snap *model.Snapshot, cl *call, out *Outcome) {
+	l := c.lane(cl.service.Name)
+	regions := c.regions(snap, cl, l)
+	var last *verdict.Error
+	sheds, patient := 0, false
+	for {
+		choice, err := c.take(ctx, cl, l, regions, patient)
+		if err != nil {
+			if last == nil || err.Verdict == verdict.MayHaveRun {
+				last = err
+			}
+			break
+		}
+		out.Upstream = choice.ID
+		ans, err := c.attempt(ctx, r, cl, choice)
+		if err != nil && err.Reason == reasonShed && sheds < maxSheds {
+			sheds++
+			last = err
+			patient = !l.sheds.Take()
+			c.done(l, choice, reportFor(err))
+			continue
+		}
+		out.Attempts++
+		cl.tried = append(cl.tried, choice.ID)
+		if err == nil && !retryableAnswer(cl, ans, out.Attempts) {
+			c.deliver(w, l, cl, choice, ans, out)
+			return
+		}
+		if err == nil {
+			err = brokenAnswer(ans)
+		}
+		c.done(l, choice, reportFor(err))
+		regions = cl.after(err, choice.Region, regions)
+		cl.outcome = verdict.Join(cl.outcome, err.Verdict)
+		last = err
+		if !c.mayRetry(ctx, cl, l, err, out.Attempts) {
+			break
+		}
+	}
+	f := refusalFor(last, cl.outcome)
+	f.retryAfter = max(f.retryAfter, admit.RetryAfter(l.queue.Len(), l.group.Latency(regions[0])))
+	out.refused(w, f)
+}
+
+// mayRetry decides whether a failed attempt is followed by another: only by its
+// verdict, within the attempts, the deadline and the budget.
+func (c *Carrier) mayRetry(ctx context.Context, cl *call, l *lane, err *verdict.Error, attempts int) bool {
+	if ctx.Err() != nil || attempts >= cl.service.Attempts {
+		return false
+	}
+	if err.Verdict != verdict.NotRun && !cl.safe {
+		return false
+	}
+	return l.budget.Take()
+}
+
+// retryableAnswer reports whether an answer to a safe request should be tried
+// elsewhere rather than delivered.
+func retryableAnswer(cl *call, a *answer, attempts int) bool {
+	if !cl.safe || attempts >= cl.service.Attempts {
+		return false
+	}
+	switch a.resp.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func brokenAnswer(a *answer) *verdict.Error {
+	discard(a.resp)
+	return verdict.New(verdict.Ran, reasonBroken, errors.New("upstream answered "+a.resp.Status))
+}
+
+// reportFor tells the balancer how a failed attempt reflects on its upstream.
+func reportFor(err *verdict.Error) balance.Report {
+	r := balance.Report{Result: balance.Failed, Load: -1}
+	switch err.Reason {
+	case reasonShed:
+		r.Result = balance.Shed
+	case reasonUnreachable:
+		r.Result = balance.Unreachable
+	case reasonCallerGone, reasonBodyUsed, reasonCallerBody, reasonTooLarge:
+		r.Result = balance.Abandoned
+	}
+	return r
+}
+
+// done frees an upstream's slot and gives the next in the queue a turn.
+func (c *Carrier) done(l *lane, choice balance.Choice, r balance.Report) {
+	l.group.Done(c.now(), choice, r)
+	l.queue.Wake()
+}
+
+// deliver sends the answer and frees the slot when it has gone out whole.
+func (c *Carrier) deliver(w http.ResponseWriter, l *lane, cl *call, choice balance.Choice, a *answer, out *Outcome) {
+	load, draining := reportOf(a.resp)
+	report := balance.Report{Result: balance.OK, Load: load, Draining: draining}
+	if a.read {
+		c.done(l, choice, report)
+	}
+	_, err := a.deliver(w, cl.id)
+	if err != nil {
+		report.Result = balance.Abandoned
+	}
+	if !a.read {
+		c.done(l, choice, report)
+	}
+	out.Status, out.Verdict = a.resp.StatusCode, verdict.Ran
+	if err != nil {
+		out.Reason = reasonBroken
+		klog.InfoS("answer broke off", "request", cl.id, "upstream", choice.ID, "err", err)
+		panic(http.ErrAbortHandler)
+	}
+	l.budget.Succeeded(cl.service.RetryBudget)
+	l.sheds.Succeeded(shedShare)
+}
+
+// regions returns the regions to try, in order: the one that a move names, the
+// own, then those for overflow.
+func (c *Carrier) regions(snap *model.Snapshot, cl *call, l *lane) []string {
+	var moves []tree.Move
+	for _, m := range snap.Moves {
+		if m.Service == cl.service.Name && m.From == snap.Region {
+			moves = append(moves, m)
+		}
+	}
+	order := append([]string{snap.Region}, cl.service.Overflow...)
+	if len(moves) == 0 {
+		return order
+	}
+	to := l.shift.Decide(shift.Input{
+		Now:   c.now(),
+		Moves: moves,
+		Cap:   cl.service.ShiftCap,
+		Rate:  cl.service.ShiftRate,
+		Seen:  l.group.Seen,
+	})
+	if to == "" {
+		return order
+	}
+	return append([]string{to}, order...)
+}
--- /dev/null
+++ b/internal/forward/slot.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/admit"
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/verdict"
+)
+
+// recheckEvery is how often the first in the queue looks for a slot that another
+// entry's request has freed.
+const recheckEvery = 10 * time.Millisecond
+
+// take admits the call and takes a slot, waiting in the queue if it has to. A
+// patient call waits in any case until a slot may have become free.
+func (c *Carrier) take(ctx context.Context, cl *call, l *lane, regions []string, patient bool) (balance.Choice, *verdict.Error) {
+	svc := cl.service
+	now := c.now()
+	wait := svc.QueueWait - now.Sub(cl.began)
+	if wait < 0 {
+		wait = 0
+	}
+	d := admit.Decide(admit.Input{
+		Now:      now,
+		Deadline: cl.deadline,
+		Expected: l.group.Latency(regions[0]) / 2,
+		Waiting:  l.queue.Len(),
+		Limit:    svc.Queue,
+		Wait:     wait,
+		InFlight: int(c.inFlight.Load()),
+		Room:     c.opt.Room,
+		Priority: svc.Priority,
+	})
+	if d.Reason != "" {
+		return balance.Choice{}, verdict.New(verdict.NotRun, string(d.Reason), nil).After(d.RetryAfter)
+	}
+	req := balance.Request{Regions: regions, Allowed: c.allowed(svc), Tried: cl.tried}
+	if l.queue.Len() == 0 && !patient {
+		choice, err := l.group.Pick(now, c.opt.Rand(), req)
+		if err == nil {
+			return choice, nil
+		}
+		if errors.Is(err, balance.ErrNoUpstream) {
+			return balance.Choice{}, verdict.New(verdict.NotRun, "no-upstream", err).After(stopRetry)
+		}
+	}
+	return c.wait(ctx, l, req, svc.Queue, d.GiveUp, patient)
+}
+
+// newRand returns a source seeded from the process's own.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// allowed keeps the requests in flight in a region within the own share of its
+// cap.
+func (c *Carrier) allowed(svc *model.Service) func(string, int) bool {
+	return func(region string, inFlight int) bool {
+		return !svc.Capped(region) || c.opt.Book.Allow(svc.Name, region, inFlight, c.opt.Boot())
+	}
+}
+
+// wait holds a place in the queue until a slot is free or it is time to give up.
+func (c *Carrier) wait(ctx context.Context, l *lane, req balance.Request, limit int, giveUp time.Time, patient bool) (balance.Choice, *verdict.Error) {
+	t, ok := l.queue.Join(limit)
+	if !ok {
+		after := admit.RetryAfter(l.queue.Len(), l.group.Latency(req.Regions[0]))
+		return balance.Choice{}, verdict.New(verdict.NotRun, string(admit.ReasonQueueFull), nil).After(after)
+	}
+	defer l.queue.Leave(t)
+	if patient {
+		t.Pass()
+	}
+	timer := time.NewTimer(giveUp.Sub(c.now()))
+	defer timer.Stop()
+	recheck := time.NewTicker(recheckEvery)
+	defer recheck.Stop()
+	for {
+		select {
+		case <-recheck.C:
+			l.queue.Wake()
+		case <-t.Ready():
+			choice, err := l.group.Pick(c.now(), c.opt.Rand(), req)
+			if err == nil {
+				return choice, nil
+			}
+		case <-timer.C:
+			after := admit.RetryAfter(l.queue.Len(), l.group.Latency(req.Regions[0]))
+			return balance.Choice{}, verdict.New(verdict.NotRun, "no-slot", nil).After(after)
+		case <-ctx.Done():
+			return balance.Choice{}, verdict.New(verdict.NotRun, reasonCallerGone, ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/status.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/share"
+)
+
+// Usage returns what the entry uses of the caps, with the refusals since the
+// last call.
+func (c *Carrier) Usage() []share.Reported {
+	limits := make(map[[2]string]share.Use)
+	for _, u := range c.opt.Book.Uses(c.opt.Boot()) {
+		limits[[2]string{u.Service, u.Region}] = u
+	}
+	snap := c.snap.Load()
+	if snap == nil {
+		return nil
+	}
+	var out []share.Reported
+	for name, svc := range snap.Services {
+		for region := range svc.MaxInFlight {
+			if !svc.Capped(region) {
+				continue
+			}
+			u := limits[[2]string{name, region}]
+			out = append(out, share.Reported{Service: name, Region: region, Usage: share.Usage{
+				InFlight: c.lane(name).group.InFlight(region), Refused: u.Refused, Limit: u.Limit,
+			}})
+		}
+	}
+	return out
+}
+
+// ServiceStatus is the state of one service, for dumps.
+type ServiceStatus struct {
+	Waiting   int                `json:"waiting"`
+	Shares    map[string]float64 `json:"move_shares,omitempty"`
+	Upstreams []balance.Status   `json:"upstreams"`
+}
+
+// Dump returns the state of all services.
+func (c *Carrier) Dump() map[string]ServiceStatus {
+	now := c.now()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := make(map[string]ServiceStatus, len(c.lanes))
+	for name, l := range c.lanes {
+		out[name] = ServiceStatus{l.queue.Len(), l.shift.Shares(), l.group.Dump(now)}
+	}
+	return out
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -12,7 +12,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -21,57 +20,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// State is what is believed of a member. Of two states of one incarnation the
-// larger wins.
-type State uint8
-
-// The states.
-const (
-	Alive State = iota + 1
-	Suspect
-	Leaving
-	Dead
-)
-
-var stateNames = [...]string{Alive: "alive", Suspect: "suspect", Leaving: "leaving", Dead: "dead"}
-
-// String returns the state's name.
-func (s State) String() string {
-	if s >= Alive && s <= Dead {
-		return stateNames[s]
-	}
-	return "unknown"
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *State) UnmarshalText(text []byte) error {
-	i := slices.Index(stateNames[:], string(text))
-	if i < int(Alive) {
-		return fmt.Errorf("membership: state %q, allowed are %v", text, stateNames[Alive:])
-	}
-	*s = State(i)
-	return nil
-}
-
-// Member is one instance.
-type Member struct {
-	ID          string `json:"id"`
-	Incarnation uint64 `json:"incarnation"`
-	State       State  `json:"state"`
-	Region      string `json:"region"`
-	Domain      string `json:"domain"`
-	// Agent, Entry and Director are the addresses of the instance's processes.
-	Agent    string `json:"agent"`
-	Entry    string `json:"entry,omitempty"`
-	Director string `json:"director,omitempty"`
-}
-
-// Live reports whether the member may be sent work or messages.
-func (m Member) Live() bool { return m.State == Alive || m.State == Suspect }
-
 // Config sets the times of a Table.
 type Config struct {
 	// SuspectFor is how long a suspected member has to refute.
@@ -202,17 +150,6 @@
 	return disputed
 }
 
-// disputes reports whether a belief that a live member of the own scope has
-// failed comes from outside the scope.
-func (t *Table) disputes(from, u Member) bool {
-	e := t.entries[u.ID]
-	if e == nil || e.State != Alive || u.Incarnation != e.Incarnation || u.State != Suspect && u.State != Dead {
-		return false
-	}
-	in := t.scopeFilter()
-	return in(u) && !in(from)
-}
-
 // refute answers a belief about the own instance that is not so, also one left
 // over from an earlier life with a faster clock.
 func (t *Table) refute(now time.Time, u Member) {
@@ -380,46 +317,6 @@
 	return t.Select(func(m Member) bool { return m.Domain == domain })
 }
 
-// minScope is the fewest peers that watch over each other; a failure domain with
-// fewer is widened to its region, then to all.
-const minScope = 2
-
-// Scope returns the live peers that the own instance probes, and whose word on
-// each other counts.
-func (t *Table) Scope() []Member {
-	t.mu.Lock()
-	in, self := t.scopeFilter(), t.self.ID
-	t.mu.Unlock()
-	return t.Select(func(m Member) bool { return m.ID != self && m.Live() && in(m) })
-}
-
-// scopeFilter returns the smallest of domain, region and all that holds enough
-// peers. Suspects count, so that a failure does not widen the scope at once.
-func (t *Table) scopeFilter() func(Member) bool {
-	self := t.self
-	inDomain := func(m Member) bool { return m.Domain == self.Domain && m.Region == self.Region }
-	inRegion := func(m Member) bool { return m.Region == self.Region }
-	domain, region := 0, 0
-	for _, e := range t.entries {
-		if e.ID == self.ID || !e.Live() {
-			continue
-		}
-		if inDomain(e.Member) {
-			domain++
-		}
-		if inRegion(e.Member) {
-			region++
-		}
-	}
-	switch {
-	case domain >= minScope:
-		return inDomain
-	case region >= minScope:
-		return inRegion
-	}
-	return func(Member) bool { return true }
-}
-
 // Lost returns the members that are believed to have failed without a farewell.
 func (t *Table) Lost() []Member {
 	return t.Select(func(m Member) bool { return m.State == Dead })
