--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -48,7 +48,7 @@
 	ShiftRate      float64
 	// Overflow lists the regions that may take requests, in order.
 	Overflow []string
-	// MaxInFlight caps the requests in flight per region; 0 means the sum of the
+	// MaxInFlight caps the requests in flight per region; 0 means none but the
 	// slots there.
 	MaxInFlight map[string]int
 	Upstreams   []Upstream
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"reflect"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -91,7 +92,7 @@
 		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
 			continue
 		}
-		if !contains(sections, s.Name()) {
+		if !slices.Contains(sections, s.Name()) {
 			l.faults = append(l.faults, Fault{File: l.file, Section: s.Name(), Reason: "unknown section",
 				Allowed: strings.Join(sections, ", "), Nearest: nearest(s.Name(), sections)})
 		}
@@ -108,7 +109,7 @@
 		l.loadKey(name, key, section, f, v.Field(i))
 	}
 	for _, k := range section.Keys() {
-		if !contains(known, k.Name()) {
+		if !slices.Contains(known, k.Name()) {
 			l.faults = append(l.faults, Fault{File: l.file, Section: name, Key: k.Name(), Value: k.Value(), Reason: "unknown key",
 				Allowed: strings.Join(known, ", "), Nearest: nearest(k.Name(), known)})
 		}
@@ -244,15 +245,6 @@
 	return err == nil && ip.IsLoopback()
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // maxDistance is how many letters a misspelt name may differ by to be guessed.
 const maxDistance = 3
 
--- /dev/null
+++ b/internal/tlsconf/tlsconf_test.go
@@ -0,0 +1,183 @@
+package tlsconf
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/settings"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	file string
+}
+
+func newAuthority(t *testing.T, dir, name string) *authority {
+	t.Helper()
+	a := &authority{file: filepath.Join(dir, name+".pem")}
+	der := a.sign(t, template(name, true), nil)
+	var err error
+	if a.cert, err = x509.ParseCertificate(der); err != nil {
+		t.Fatal(err)
+	}
+	write(t, a.file, "CERTIFICATE", der)
+	return a
+}
+
+func template(name string, ca bool) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: ca, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+}
+
+// sign makes a key and a certificate for it, signed by the authority, or by
+// itself if the authority is new. It returns the certificate and, in key, the
+// key's file form.
+func (a *authority) sign(t *testing.T, c *x509.Certificate, keyDER *[]byte) []byte {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		a.key = key
+		parent, signer = c, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if keyDER != nil {
+		if *keyDER, err = x509.MarshalECPrivateKey(key); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return der
+}
+
+// instance writes a certificate with its key and returns the settings.
+func (a *authority) instance(t *testing.T, dir, name string) settings.TLS {
+	t.Helper()
+	s := settings.TLS{Cert: filepath.Join(dir, name+".crt"), Key: filepath.Join(dir, name+".key"), PeerCA: a.file}
+	var key []byte
+	write(t, s.Cert, "CERTIFICATE", a.sign(t, template(name, false), &key))
+	write(t, s.Key, "EC PRIVATE KEY", key)
+	return s
+}
+
+func write(t *testing.T, file, kind string, der []byte) {
+	t.Helper()
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// speaks reports whether a client gets an answer from a server.
+func speaks(t *testing.T, server, client *tls.Config) bool {
+	t.Helper()
+	lis, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	go func() {
+		c, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "hello")
+	}()
+	c, err := tls.Dial("tcp", lis.Addr().String(), client)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	b, err := io.ReadAll(c)
+	return err == nil && string(b) == "hello"
+}
+
+// TestPeers lets only peers of one authority speak with each other.
+func TestPeers(t *testing.T) {
+	dir := t.TempDir()
+	ours, theirs := newAuthority(t, dir, "ours"), newAuthority(t, dir, "theirs")
+	server, _, err := Peers(ours.instance(t, dir, "n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, friend, err := Peers(ours.instance(t, dir, "n2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, stranger, err := Peers(theirs.instance(t, dir, "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	nameless := friend.Clone()
+	nameless.GetClientCertificate = nil
+	mixed := stranger.Clone()
+	mixed.RootCAs = friend.RootCAs
+	for name, tt := range map[string]struct {
+		client *tls.Config
+		want   bool
+	}{"a peer": {friend, true}, "another authority": {stranger, false}, "no certificate": {nameless, false}, "a foreign certificate": {mixed, false}} {
+		if got := speaks(t, server, tt.client); got != tt.want {
+			t.Errorf("%s: speaks %v, want %v", name, got, tt.want)
+		}
+	}
+}
+
+// TestPairFollowsItsFiles replaces a certificate, also by one that cannot be
+// read.
+func TestPairFollowsItsFiles(t *testing.T) {
+	dir := t.TempDir()
+	a := newAuthority(t, dir, "ca")
+	s := a.instance(t, dir, "n1")
+	p, err := LoadPair(s.Cert, s.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, _ := p.Get()
+	a.instance(t, dir, "n1")
+	later := time.Now().Add(time.Minute)
+	if err := os.Chtimes(s.Cert, later, later); err != nil {
+		t.Fatal(err)
+	}
+	if same, _ := p.Get(); same != first {
+		t.Error("the file was read again before its time")
+	}
+	p.checked = time.Time{}
+	second, err := p.Get()
+	if err != nil || second == first {
+		t.Errorf("the new certificate is not in force, %v", err)
+	}
+	if err := os.WriteFile(s.Cert, []byte("half a file"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.checked = time.Time{}
+	if got, err := p.Get(); err != nil || got != second {
+		t.Errorf("a file that cannot be read took the last certificate out, %v", err)
+	}
+	if _, err := LoadPair(s.Cert, s.Key); err == nil {
+		t.Error("a broken certificate was loaded")
+	}
+}
