--- a/internal/agent/node.go
+++ b/internal/agent/node.go
@@ -24,7 +24,6 @@
 	// following counts its open streams.
 	following int
 	leaving   bool
-	inFlight  uint32
 }
 
 // viewEvery joins changes in a burst into one view.
@@ -84,11 +83,15 @@
 		}
 		v.Revision = revision
 	}
-	needed := f.needed(a, list)
-	if !f.started || list.Version > f.list || len(needed.Upstreams) != f.upstreams {
-		v.Directory = rpc.DirectoryToProto(needed)
+	// Which upstreams are needed follows from the list and the settings alone.
+	if !f.started || list.Version > f.list || v.Revision > f.revision {
+		needed := f.needed(a, list)
+		if !f.started || list.Version > f.list || len(needed.Upstreams) != f.upstreams {
+			v.Directory = rpc.DirectoryToProto(needed)
+		}
+		f.upstreams = len(needed.Upstreams)
 	}
-	f.started, f.revision, f.list, f.upstreams = true, v.Revision, list.Version, len(needed.Upstreams)
+	f.started, f.revision, f.list = true, v.Revision, list.Version
 	if err := send(v); err != nil {
 		return err
 	}
@@ -157,7 +160,7 @@
 func (a *Agent) HandleReport(req *pb.ReportRequest) *pb.ReportReply {
 	a.localMu.Lock()
 	p := a.process(req.GetProcess())
-	p.leaving, p.inFlight = req.GetLeaving(), req.GetInFlight()
+	p.leaving = req.GetLeaving()
 	a.localMu.Unlock()
 	a.announceProcesses()
 	a.draining.hear(time.Now(), req.GetDraining())
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -33,7 +33,7 @@
 }
 
 func (e *Entry) report(ctx context.Context, r Reporter, leaving bool) error {
-	req := &pb.ReportRequest{Leaving: leaving, InFlight: uint32(e.Carrier.InFlight()), Draining: e.Carrier.SelfDraining()}
+	req := &pb.ReportRequest{Leaving: leaving, Draining: e.Carrier.SelfDraining()}
 	for _, u := range e.Carrier.Usage() {
 		req.Usage = append(req.Usage, &pb.CapUsage{
 			Service: u.Service, Region: u.Region,
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -103,14 +103,18 @@
 	return c
 }
 
+// retryAfter is the advice to a refused caller whose request would have gone to
+// a region.
+func (l *lane) retryAfter(region string) time.Duration {
+	return admit.RetryAfter(l.queue.Len(), l.group.Latency(region))
+}
+
 // Update installs a newer snapshot.
 func (c *Carrier) Update(s *model.Snapshot) {
 	now := c.now()
 	var entries []string
-	for _, m := range s.Members {
-		if m.Entry != "" && m.Region == s.Region {
-			entries = append(entries, m.ID)
-		}
+	for _, m := range s.HomeEntries() {
+		entries = append(entries, m.ID)
 	}
 	for name, svc := range s.Services {
 		l := c.lane(name)
@@ -205,10 +209,8 @@
 		f.reason = "entry-starting"
 		return f
 	}
-	for _, m := range snap.Members {
-		if m.Entry != "" && m.Region == snap.Region {
-			f.entries = append(f.entries, m.Entry)
-		}
+	for _, m := range snap.HomeEntries() {
+		f.entries = append(f.entries, m.Entry)
 	}
 	return f
 }
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -7,7 +7,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/loomkeel/loomkeel/internal/admit"
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/shift"
@@ -69,7 +68,7 @@
 		}
 	}
 	f := refusalFor(last, cl.outcome)
-	f.retryAfter = max(f.retryAfter, admit.RetryAfter(l.queue.Len(), l.group.Latency(regions[0])))
+	f.retryAfter = max(f.retryAfter, l.retryAfter(regions[0]))
 	out.refused(w, f)
 }
 
--- a/internal/forward/slot.go
+++ b/internal/forward/slot.go
@@ -21,17 +21,13 @@
 func (c *Carrier) take(ctx context.Context, cl *call, l *lane, regions []string, patient bool) (balance.Choice, *verdict.Error) {
 	svc := cl.service
 	now := c.now()
-	wait := svc.QueueWait - now.Sub(cl.began)
-	if wait < 0 {
-		wait = 0
-	}
 	d := admit.Decide(admit.Input{
 		Now:      now,
 		Deadline: cl.deadline,
 		Expected: l.group.Latency(regions[0]) / 2,
 		Waiting:  l.queue.Len(),
 		Limit:    svc.Queue,
-		Wait:     wait,
+		Wait:     max(0, svc.QueueWait-now.Sub(cl.began)),
 		InFlight: int(c.inFlight.Load()),
 		Room:     c.opt.Room,
 		Priority: svc.Priority,
@@ -67,8 +63,7 @@
 func (c *Carrier) wait(ctx context.Context, l *lane, req balance.Request, limit int, giveUp time.Time, patient bool) (balance.Choice, *verdict.Error) {
 	t, ok := l.queue.Join(limit)
 	if !ok {
-		after := admit.RetryAfter(l.queue.Len(), l.group.Latency(req.Regions[0]))
-		return balance.Choice{}, verdict.New(verdict.NotRun, string(admit.ReasonQueueFull), nil).After(after)
+		return balance.Choice{}, verdict.New(verdict.NotRun, string(admit.ReasonQueueFull), nil).After(l.retryAfter(req.Regions[0]))
 	}
 	defer l.queue.Leave(t)
 	if patient {
@@ -88,8 +83,7 @@
 				return choice, nil
 			}
 		case <-timer.C:
-			after := admit.RetryAfter(l.queue.Len(), l.group.Latency(req.Regions[0]))
-			return balance.Choice{}, verdict.New(verdict.NotRun, "no-slot", nil).After(after)
+			return balance.Choice{}, verdict.New(verdict.NotRun, "no-slot", nil).After(l.retryAfter(req.Regions[0]))
 		case <-ctx.Done():
 			return balance.Choice{}, verdict.New(verdict.NotRun, reasonCallerGone, ctx.Err())
 		}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -192,6 +192,17 @@
 	return svc
 }
 
+// HomeEntries returns the live instances of the own region whose entry is up.
+func (s *Snapshot) HomeEntries() []membership.Member {
+	var out []membership.Member
+	for _, m := range s.Members {
+		if m.Entry != "" && m.Region == s.Region {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Capped reports whether a service has a cap on its requests in flight in a
 // region.
 func (s *Service) Capped(region string) bool { return s.MaxInFlight[region] > 0 }
