Entries tell each other their requests at each upstream

Change: package inflight, a datagram each 0.1 s to entries of the region and each 0.2 s to others, at most 24 at a time; the balancer adds what peers told to its own.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -15,6 +15,7 @@
 
 	clicommon "github.com/loomkeel/loomkeel/internal/cli"
 	"github.com/loomkeel/loomkeel/internal/forward"
+	"github.com/loomkeel/loomkeel/internal/inflight"
 	"github.com/loomkeel/loomkeel/internal/node"
 	"github.com/loomkeel/loomkeel/internal/process"
 	"github.com/loomkeel/loomkeel/internal/view"
@@ -73,7 +74,7 @@
 	}
 	stop, cancel := process.Signals(ctx)
 	defer cancel()
-	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, time.Now())
+	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, s.Peer, time.Now())
 	n := node.New(view.Options{
 		Self:    self,
 		Regions: s.Regions,
@@ -95,11 +96,16 @@
 	if err := listen(n, s); err != nil {
 		return err
 	}
+	exchange, err := inflight.Listen(n.Reports(self))
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Peer)
+	}
 	klog.InfoS("node started", "id", s.ID, "entry", s.Entry, "store", s.Store.Address)
 	following, end := context.WithCancel(context.Background())
 	defer end()
 	go feed.Run(following)
 	go n.Tick(following)
+	go exchange.Run(following)
 	go func() {
 		<-feed.Ready()
 		n.Synced()
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -69,9 +69,11 @@
 	if best == nil {
 		return Choice{}, ErrNoSlot
 	}
-	c := Choice{Upstream: best.Upstream, Picked: now, class: req.Class, object: req.Object, rank: rank}
+	c := Choice{Upstream: best.Upstream, Picked: now, Rank: rank, class: req.Class, object: req.Object}
 	c.Warm = best.warmFor(req.Object, now)
-	c.unqueued = g.estimate(best, now)+1 <= float64(best.Slots)
+	c.Ahead = g.estimate(best, now)
+	c.Expected = g.expected(best, now, req, rank)
+	c.unqueued = c.Ahead+1 <= float64(best.Slots)
 	if g.cold(best, now) {
 		best.coldTokens--
 	}
@@ -225,3 +227,6 @@
 	}
 	return demand
 }
+
+// Object returns the hash of the object that the choice was made for.
+func (c Choice) Object() uint64 { return c.object }
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -37,6 +37,8 @@
 	// shedFor is how long an upstream that shed load is taken for full. It says
 	// nothing about the others.
 	shedFor = 50 * time.Millisecond
+	// peerFresh is after what time without a report a peer counts for nothing.
+	peerFresh = time.Second
 	// drainingFor is how long an upstream's own word that it drains is believed.
 	drainingFor = 5 * time.Minute
 )
@@ -76,6 +78,9 @@
 	weight float64
 	// served is when objects were last served, as far as this entry knows.
 	served map[uint64]time.Time
+	// byPeer is how many requests each peer has at the upstream, atPeers their sum.
+	byPeer  map[string]int
+	atPeers int
 	// coldTokens are the requests that may be sent now while the upstream is
 	// cold, as of coldAt.
 	coldTokens float64
@@ -108,6 +113,8 @@
 	meanWork time.Duration
 	// roundTrip is the time to a region and back.
 	roundTrip map[string]time.Duration
+	// heard is when each peer last told of its requests.
+	heard map[string]time.Time
 }
 
 // NewGroup returns an empty Group.
@@ -118,6 +125,7 @@
 		probeAt:   make(map[string]time.Time),
 		byClass:   make(map[string]*times),
 		roundTrip: make(map[string]time.Duration),
+		heard:     make(map[string]time.Time),
 	}
 }
 
@@ -201,10 +209,16 @@
 	// Warm is set if this entry knows that the upstream has the object at hand.
 	Warm bool
 
-	// class, object and rank are those of an ObjectRequest.
+	// Rank is the upstream's place among those of the object, from 0.
+	Rank int
+	// Ahead is how many requests were thought to be at the upstream, and Expected
+	// after what time its answer was expected.
+	Ahead    float64
+	Expected time.Duration
+
+	// class and object are those of an ObjectRequest.
 	class  string
 	object uint64
-	rank   int
 	// unqueued is set if the request should have got a slot at once.
 	unqueued bool
 }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -6,8 +6,13 @@
 )
 
 // estimate is the number of requests at an upstream: the own ones, and those of
-// other entries as last reported, which give way to the mean as they age.
+// other entries. Those are known if the entries tell each other; else they are
+// taken from what the upstream last reported, which gives way to the mean as it
+// ages.
 func (g *Group) estimate(m *member, now time.Time) float64 {
+	if len(g.heard) > 0 {
+		return float64(m.inFlight + m.atPeers)
+	}
 	w := 0.0
 	if !m.reported.IsZero() {
 		w = math.Exp(-float64(now.Sub(m.reported)) / float64(reportDecay))
--- a/internal/balance/warmth.go
+++ b/internal/balance/warmth.go
@@ -66,7 +66,7 @@
 		return
 	}
 	t := g.times(c.class)
-	into := &t.unknown[min(c.rank, len(t.unknown)-1)]
+	into := &t.unknown[min(c.Rank, len(t.unknown)-1)]
 	if c.Warm {
 		into = &t.warm
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,8 +64,9 @@
 	}
 	e.mu.Unlock()
 	l.Record(uint32(o.Took), o.Took)
-	klog.V(2).InfoS("request", "id", o.ID, "service", o.Service, "upstream", o.Upstream, "status", o.Status,
-		"verdict", o.Verdict, "reason", o.Reason, "took", o.Took, "attempts", o.Attempts)
+	klog.V(2).InfoS("request", "id", o.ID, "service", o.Service, "status", o.Status, "verdict", o.Verdict,
+		"reason", o.Reason, "took", o.Took, "attempts", o.Attempts, "upstream", o.Choice.ID, "rank", o.Choice.Rank, "object", o.Choice.Object(),
+		"warm", o.Choice.Warm, "ahead", o.Choice.Ahead, "expected", o.Choice.Expected, "load", o.Told.Load, "waiting", o.Told.Waiting)
 }
 
 // Metrics returns the counters and percentiles of each service.
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -58,9 +58,12 @@
 
 // Outcome is how a request ended, for metrics and logs.
 type Outcome struct {
-	Service  string
-	ID       string
-	Upstream string
+	Service string
+	ID      string
+	// Choice is the last upstream that was picked.
+	Choice balance.Choice
+	// Told is what its answer said.
+	Told     Told
 	Status   int
 	Verdict  verdict.Verdict
 	Reason   string
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -44,7 +44,7 @@
 			}
 			break
 		}
-		out.Upstream = choice.ID
+		out.Choice = choice
 		ans, err := c.attempt(ctx, r, cl, choice)
 		if err != nil && err.Reason == ReasonShed && !cl.service.Routed && sheds < maxSheds {
 			sheds++
@@ -138,7 +138,7 @@
 	if !a.read {
 		c.done(l, choice, report)
 	}
-	out.Status, out.Verdict = a.resp.StatusCode, verdict.Ran
+	out.Status, out.Verdict, out.Told = a.resp.StatusCode, verdict.Ran, a.told
 	if err != nil {
 		out.Reason = reasonBroken
 		klog.InfoS("answer broke off", "request", cl.ID, "upstream", choice.ID, "err", err)
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/share"
 )
@@ -31,6 +34,27 @@
 	return out
 }
 
+// InFlightAt calls visit with the own requests at each upstream that has any.
+func (c *Carrier) InFlightAt(visit func(upstream uint32, requests int)) {
+	for _, l := range c.allLanes() {
+		l.group.InFlightAt(visit)
+	}
+}
+
+// Heard takes in how many requests a peer has at each upstream.
+func (c *Carrier) Heard(peer string, at map[uint32]int) {
+	now := c.now()
+	for _, l := range c.allLanes() {
+		l.group.Heard(now, peer, at)
+	}
+}
+
+func (c *Carrier) allLanes() []*lane {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Collect(maps.Values(c.lanes))
+}
+
 // SelfDraining returns the ids of the upstreams that said that they drain.
 func (c *Carrier) SelfDraining() []string {
 	now := c.now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/entry"
 	"github.com/loomkeel/loomkeel/internal/forward"
+	"github.com/loomkeel/loomkeel/internal/inflight"
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/view"
@@ -141,10 +143,51 @@
 	klog.InfoS("stopped", "in_flight", n.Entry.Carrier.InFlight(), "took", n.now().Sub(began))
 }
 
+// Reports sets up the exchange of reports with the other nodes.
+func (n *Node) Reports(self model.Member) inflight.Options {
+	return inflight.Options{
+		Address:     self.Agent,
+		Entry:       self.ID,
+		Incarnation: self.Incarnation,
+		Peers:       func() []inflight.Peer { return peersOf(self, *n.members.Load()) },
+		Counts:      n.counts,
+		Heard:       n.heard,
+	}
+}
+
+// peersOf returns the other members that can be told.
+func peersOf(self model.Member, members []model.Member) []inflight.Peer {
+	var out []inflight.Peer
+	for _, m := range members {
+		addr, err := netip.ParseAddrPort(m.Agent)
+		if m.ID == self.ID || err != nil {
+			continue
+		}
+		out = append(out, inflight.Peer{Address: addr, Near: m.Region == self.Region})
+	}
+	return out
+}
+
+func (n *Node) counts() []inflight.Count {
+	var out []inflight.Count
+	n.Entry.Carrier.InFlightAt(func(upstream uint32, requests int) {
+		out = append(out, inflight.Count{Upstream: upstream, Requests: requests})
+	})
+	return out
+}
+
+func (n *Node) heard(r *inflight.Report) {
+	at := make(map[uint32]int, len(r.Counts))
+	for _, c := range r.Counts {
+		at[c.Upstream] = c.Requests
+	}
+	n.Entry.Carrier.Heard(r.Entry, at)
+}
+
 // Self returns the member that a node announces.
-func Self(id, region, domain, entryAddr string, now time.Time) model.Member {
+func Self(id, region, domain, entryAddr, peerAddr string, now time.Time) model.Member {
 	return model.Member{
-		ID: id, Region: region, Domain: domain, Entry: entryAddr,
+		ID: id, Region: region, Domain: domain, Entry: entryAddr, Agent: peerAddr,
 		State: membership.Alive, Incarnation: uint64(now.UnixMilli()),
 	}
 }
