Refuse at once what the wait for a slot would make late

Change: PickObject passes over an upstream where the expected wait plus the warm work passes the route's objective; if all are passed over the request is refused as not run, with a time to come back. Cold work alone is no reason to refuse.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -30,6 +30,9 @@
 	Object uint64
 	// Class names the requests that take the same work, for instance a route.
 	Class string
+	// Objective is the latency within which the answer has its full worth; 0 if
+	// there is none.
+	Objective time.Duration
 	// Regions are those that may serve the request.
 	Regions func(region string) bool
 	// Tried holds the ids of upstreams that must not be picked again.
@@ -140,7 +143,7 @@
 	var least time.Duration
 	rank := 0
 	for i, c := range ranked {
-		if !g.hasRoom(c.m, now) {
+		if !g.hasRoom(c.m, now) || g.tooLate(c.m, now, req) {
 			continue
 		}
 		t := g.expected(c.m, now, req, i)
@@ -151,6 +154,25 @@
 	return best, rank
 }
 
+// tooLate reports whether the wait for a slot alone would make an answer miss its
+// objective. Such a request is better refused at once: it may be in time when it
+// comes back, and does not make others late. An object that is not at hand is no
+// reason, or it would never be.
+func (g *Group) tooLate(m *member, now time.Time, req ObjectRequest) bool {
+	wait := g.wait(m, now)
+	if req.Objective <= 0 || wait <= 0 {
+		return false
+	}
+	return g.roundTrip[m.Region]+wait+g.times(req.Class).warm > req.Objective
+}
+
+// wait is the expected time until one more request at an upstream gets a slot.
+func (g *Group) wait(m *member, now time.Time) time.Duration {
+	slots := float64(max(m.Slots, 1))
+	ahead := math.Max(0, g.estimate(m, now)+1+float64(m.failures)-slots) / slots
+	return time.Duration(ahead * float64(g.meanWork))
+}
+
 // hasRoom reports whether one more request may join those at an upstream.
 func (g *Group) hasRoom(m *member, now time.Time) bool {
 	if now.Before(m.shedUntil) || g.cold(m, now) && !g.takesCold(m, now) {
@@ -176,9 +198,7 @@
 	if m.warmFor(req.Object, now) {
 		work = t.warm
 	}
-	slots := float64(max(m.Slots, 1))
-	ahead := math.Max(0, g.estimate(m, now)+1+float64(m.failures)-slots) / slots
-	return g.roundTrip[m.Region] + time.Duration(ahead*float64(g.meanWork)) + work
+	return g.roundTrip[m.Region] + g.wait(m, now) + work
 }
 
 // weigh sets the weights of the upstreams for an entry's region. Regions are
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -67,7 +67,7 @@
 
 // objectRequest is what the call asks of the balancer if it has a route.
 func (c *call) objectRequest() balance.ObjectRequest {
-	req := balance.ObjectRequest{Class: c.Route.Name, Regions: c.Route.Allows, Tried: c.tried}
+	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.Route.Allows, Tried: c.tried}
 	if c.Route.Affinity && c.Object != "" {
 		req.Object = balance.HashObject(c.Route.Name, c.Object)
 	} else {
