--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -31,7 +31,7 @@
 	room = 4096
 	// rejoin is how long entries that lapsed while the store was away have to
 	// come back; the platform says about two seconds.
-	rejoin = 2500 * time.Millisecond
+	rejoin = 2200 * time.Millisecond
 	// retryShare is the part of the platform's retry budget that is used, since
 	// the nodes may see different requests in its window.
 	retryShare = 0.7
@@ -85,7 +85,7 @@
 			ColdFactor: s.Bounds.ColdFactor,
 			ColdSlack:  s.Bounds.ColdSlack,
 		},
-	}, forward.Options{Self: s.ID, Room: room, Now: time.Now, Protocol: platform.Protocol{}, DialTimeout: dialTimeout})
+	}, forward.Options{Self: s.ID, Domain: s.Domain, Room: room, Now: time.Now, Protocol: platform.Protocol{}, DialTimeout: dialTimeout})
 
 	store := platform.NewStore(s.Store)
 	feed := platform.NewFeed(store, n.Apply)
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -19,6 +20,14 @@
 	// slot. Beyond it a request would rather be refused early than be late and
 	// make others late.
 	fullAt = 3.0
+	// crossingPerByte is the time that a request would rather wait than send one
+	// more byte to another failure domain: a photograph of 60 KB nearly always
+	// stays, an answer of 400 bytes does not care.
+	crossingPerByte = 10 * time.Microsecond
+	// largeBytes is the mean size from which on a class has a replica of each
+	// object in each failure domain. Below, one more warm replica costs more than
+	// the bytes that stay.
+	largeBytes = 4500
 	// farWeight is the weight of regions that nothing has to spill to: enough to
 	// have an order among their upstreams when all nearer ones are gone.
 	farWeight = 1e-6
@@ -85,30 +94,66 @@
 	return c, nil
 }
 
-// rank returns the usable upstreams of an object in order, at most replicas of
-// them unless the request may go anywhere.
+// rank returns the upstreams that share an object, at most replicas, by place. A
+// request that may go anywhere gets all usable upstreams.
+//
+// If the requests of the class are large, the upstreams are the first in each
+// failure domain of the region that the object belongs to, so that each domain's
+// entries have one at hand and the others as alternatives. Where there are fewer
+// domains the next ones make up for it. Those of the own domain come first.
 func (g *Group) rank(now time.Time, req ObjectRequest) []candidate {
-	limit := replicas
+	usable := g.byPlace(now, req)
 	if req.Spread {
-		limit = len(g.all)
+		return usable
 	}
-	ranked := make([]candidate, 0, limit+1)
-	for _, m := range g.all {
-		if !g.usable(m, now, req) {
-			continue
+	if !g.times(req.Class).large() {
+		return usable[:min(replicas, len(usable))]
+	}
+	shared := make([]candidate, 0, replicas)
+	rest := make([]candidate, 0, replicas)
+	for _, c := range usable {
+		if len(shared) == replicas {
+			break
 		}
-		c := candidate{m, place(req.Object, m)}
-		at := len(ranked)
-		for at > 0 && c.place < ranked[at-1].place {
-			at--
+		if c.m.Region == usable[0].m.Region && !hasDomain(shared, c.m.Domain) {
+			shared = append(shared, c)
+		} else if len(rest) < replicas {
+			rest = append(rest, c)
 		}
-		if at == limit {
-			continue
+	}
+	missing := min(replicas-len(shared), len(rest))
+	return g.ownFirst(append(shared, rest[:missing]...))
+}
+
+func hasDomain(cs []candidate, domain string) bool {
+	return slices.ContainsFunc(cs, func(c candidate) bool { return c.m.Domain == domain })
+}
+
+// ownFirst moves the candidates of the own failure domain to the front.
+func (g *Group) ownFirst(cs []candidate) []candidate {
+	slices.SortStableFunc(cs, func(a, b candidate) int {
+		return cmp.Compare(boolInt(a.m.Domain != g.domain), boolInt(b.m.Domain != g.domain))
+	})
+	return cs
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// byPlace returns the usable upstreams in the object's order.
+func (g *Group) byPlace(now time.Time, req ObjectRequest) []candidate {
+	out := make([]candidate, 0, len(g.all))
+	for _, m := range g.all {
+		if g.usable(m, now, req) {
+			out = append(out, candidate{m, place(req.Object, m)})
 		}
-		ranked = slices.Insert(ranked, at, c)
-		ranked = ranked[:min(limit, len(ranked))]
 	}
-	return ranked
+	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
+	return out
 }
 
 // usable reports whether an upstream may get the request at all.
@@ -198,7 +243,16 @@
 	if m.warmFor(req.Object, now) {
 		work = t.warm
 	}
-	return g.roundTrip[m.Region] + g.wait(m, now) + work
+	return g.roundTrip[m.Region] + g.wait(m, now) + work + g.crossing(m, t)
+}
+
+// crossing is the time that a request would rather wait than have its bytes cross
+// to another failure domain.
+func (g *Group) crossing(m *member, t *times) time.Duration {
+	if m.Domain == g.domain {
+		return 0
+	}
+	return time.Duration(t.bytes * float64(crossingPerByte))
 }
 
 // weigh sets the weights of the upstreams for an entry's region. Regions are
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -103,8 +103,10 @@
 	// probeAt is when a region most of which fails may next be tried first.
 	probeAt map[string]time.Time
 
-	// self and entries are the ids of this entry and of all that are live.
+	// self and domain are the id and failure domain of this entry, entries the ids
+	// of all that are live.
 	self    string
+	domain  string
 	entries []string
 	// coldRate bounds the requests to a cold upstream per second from all entries.
 	coldRate float64
@@ -136,9 +138,11 @@
 	Draining func(*model.Upstream, time.Time) bool
 	// Owned are the ids of the upstreams that this entry uses first; see Owned.
 	Owned map[string]bool
-	// Self is the id of this entry, Home its region, and Entries all live ones.
+	// Self is the id of this entry, Home its region, Domain its failure domain,
+	// and Entries are all live ones.
 	Self    string
 	Home    string
+	Domain  string
 	Entries []model.Member
 }
 
@@ -150,7 +154,7 @@
 	defer g.mu.Unlock()
 	first := len(g.byID) == 0
 	g.warmup, g.coldRate, g.draining = svc.Warmup, svc.ColdRate, in.Draining
-	g.self, g.entries = in.Self, ids(in.Entries)
+	g.self, g.domain, g.entries = in.Self, in.Domain, ids(in.Entries)
 	g.regions, g.all = make(map[string][]*member), nil
 	seen := make(map[string]bool)
 	for _, u := range svc.Upstreams {
@@ -331,6 +335,8 @@
 	Waiting int
 	// Draining is set if the upstream said that it drains.
 	Draining bool
+	// Bytes is the size of the bodies of the request and the answer, 0 if unknown.
+	Bytes int64
 	// Connect is how long the connection took to be made; 0 if it was there.
 	Connect time.Duration
 }
--- a/internal/balance/warmth.go
+++ b/internal/balance/warmth.go
@@ -20,8 +20,14 @@
 	warm time.Duration
 	// unknown is that at others, by their rank among the object's upstreams.
 	unknown [replicas]time.Duration
+	// bytes is the mean size of a request and its answer.
+	bytes float64
 }
 
+// large reports whether the requests are large enough to keep them in their
+// failure domain.
+func (t *times) large() bool { return t.bytes >= largeBytes }
+
 func (g *Group) times(class string) *times {
 	t := g.byClass[class]
 	if t == nil {
@@ -61,11 +67,15 @@
 		return
 	}
 	m.remember(c.object, now)
+	t := g.times(c.class)
+	if t.bytes == 0 {
+		t.bytes = float64(r.Bytes)
+	}
+	t.bytes += workWeight * (float64(r.Bytes) - t.bytes)
 	took := now.Sub(c.Picked) - g.roundTrip[c.Region]
 	if !c.unqueued || r.Waiting > 0 || g.cold(m, now) || took <= 0 {
 		return
 	}
-	t := g.times(c.class)
 	into := &t.unknown[min(c.Rank, len(t.unknown)-1)]
 	if c.Warm {
 		into = &t.warm
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -27,6 +27,8 @@
 type Options struct {
 	// Self is the id of the entry's instance.
 	Self string
+	// Domain is the failure domain of the entry's instance.
+	Domain string
 	// Protocol is how callers and upstreams speak; nil means Native.
 	Protocol Protocol
 	// Room is how many requests may be in the entry at one time.
@@ -131,7 +133,7 @@
 		owned := balance.Owned(svc.Upstreams, s.Region, c.opt.Self, entries)
 		l.group.Update(balance.Input{
 			Service: svc, Draining: s.Draining, Owned: owned,
-			Self: c.opt.Self, Home: s.Region, Entries: s.Members,
+			Self: c.opt.Self, Home: s.Region, Domain: c.opt.Domain, Entries: s.Members,
 		}, now)
 		if svc.Routed {
 			l.budget.SetBurst(svc.RetryBurst)
--- a/internal/route/nearest.go
+++ b/internal/route/nearest.go
@@ -2,20 +2,31 @@
 
 import "github.com/loomkeel/loomkeel/internal/model"
 
-// Nearest returns the live members with an entry in a region, or all with an
-// entry if there is none in the region.
-func Nearest(members []model.Member, region string) []model.Member {
-	var near, all []model.Member
+// enough is how many members of a failure domain are named alone: with two of
+// them a caller has another to turn to.
+const enough = 2
+
+// Nearest returns the live members with an entry that are nearest to a place:
+// those of the failure domain, if there are enough, else of the region, else all.
+func Nearest(members []model.Member, region, domain string) []model.Member {
+	var beside, near, all []model.Member
 	for _, m := range members {
 		if m.Entry == "" || !m.Live() {
 			continue
 		}
 		all = append(all, m)
-		if m.Region == region {
-			near = append(near, m)
+		if m.Region != region {
+			continue
+		}
+		near = append(near, m)
+		if m.Domain == domain {
+			beside = append(beside, m)
 		}
 	}
-	if len(near) > 0 {
+	switch {
+	case len(beside) >= enough:
+		return beside
+	case len(near) > 0:
 		return near
 	}
 	return all
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -95,12 +95,14 @@
 
 // RemoveUpstream records that an upstream's entry is gone. It reports whether the
 // upstream is: while the service was just away, its entry may have lapsed, and
-// the upstream is kept until it had time to come back.
+// the upstream is kept until it had time to come back, unless it had said that it
+// leaves.
 func (v *View) RemoveUpstream(id string, now time.Time) bool {
-	if _, ok := v.upstreams[id]; !ok {
+	u, ok := v.upstreams[id]
+	if !ok {
 		return false
 	}
-	if v.unsettled(now) {
+	if v.unsettled(now) && !u.Leaving {
 		if _, ok := v.lapsed[id]; !ok {
 			v.lapsed[id] = now
 		}
