Warm cold upstreams from the entries that use them; say how long the wait is

Cause: the bound on requests to a cold upstream was divided among entries drawn by hash, most of which have no use for it, so that an upstream in another's failure domain was offered a fifth of what it may take.

Change: the entries of its failure domain, then of its region, then others share the bound, three requests a second each. The mean size that decides where objects are placed moves slowly and counts as large from 3,000 bytes. A refusal for lateness says how long the wait is.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -27,7 +28,7 @@
 	// largeBytes is the mean size from which on a class has a replica of each
 	// object in each failure domain. Below, one more warm replica costs more than
 	// the bytes that stay.
-	largeBytes = 4500
+	largeBytes = 3000
 	// farWeight is the weight of regions that nothing has to spill to: enough to
 	// have an order among their upstreams when all nearer ones are gone.
 	farWeight = 1e-6
@@ -79,7 +80,7 @@
 	}
 	best, rank := g.quickest(now, req, ranked)
 	if best == nil {
-		return Choice{}, ErrNoSlot
+		return Choice{}, g.full(now, ranked)
 	}
 	c := Choice{Upstream: best.Upstream, Picked: now, Rank: rank, class: req.Class, object: req.Object}
 	c.Warm = best.warmFor(req.Object, now)
@@ -94,6 +95,36 @@
 	return c, nil
 }
 
+// LateError reports that every upstream would answer too late for the objective
+// now, but probably not after a while.
+type LateError struct {
+	// RetryAfter is the least wait for a slot.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *LateError) Error() string {
+	return fmt.Sprintf("balance: too late now, perhaps not in %v", e.RetryAfter)
+}
+
+// Unwrap returns ErrNoSlot, of which a LateError is a kind.
+func (e *LateError) Unwrap() error { return ErrNoSlot }
+
+// full is the error when no candidate may take a request: if one could, but only
+// too late, it says when to come back.
+func (g *Group) full(now time.Time, ranked []candidate) error {
+	var least time.Duration
+	for _, c := range ranked {
+		if w := g.wait(c.m, now); g.hasRoom(c.m, now) && (least == 0 || w < least) {
+			least = w
+		}
+	}
+	if least == 0 {
+		return ErrNoSlot
+	}
+	return &LateError{RetryAfter: least}
+}
+
 // rank returns the upstreams that share an object, at most replicas, by place. A
 // request that may go anywhere gets all usable upstreams.
 //
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -7,8 +7,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/loomkeel/loomkeel/internal/model"
 )
 
+// coldPerSender is how many requests in a second each of the entries may send that
+// share the bound of a cold upstream. With fewer each the one that an entry may
+// send at once would use up the bound; with more too few entries could send.
+const coldPerSender = 3.0
+
 // cold reports whether an upstream has not warmed up since its start.
 func (g *Group) cold(m *member, now time.Time) bool {
 	if now.Before(m.ColdUntil) {
@@ -18,30 +25,42 @@
 }
 
 // takesCold reports whether this entry may send one more request to a cold
-// upstream. The upstream's bound is divided among a few entries that all work
-// out alike; each may send one request at once and the rest at its part of the
-// rate, so that the sum in any second stays under the bound.
+// upstream. The upstream's bound is divided evenly among a few entries that all
+// work out alike; each may send one request at once and the rest at its part of
+// the rate, so that the sum in any second stays under the bound.
 func (g *Group) takesCold(m *member, now time.Time) bool {
 	if g.coldRate <= 0 {
 		return true
 	}
-	senders := min(len(g.entries), int(g.coldRate/2))
-	if senders < 1 || !g.sendsCold(m.ID, senders) {
+	senders := min(len(g.entries), max(1, int(g.coldRate/coldPerSender)))
+	if !g.sendsCold(m, senders) {
 		return false
 	}
-	rate := (g.coldRate - float64(senders)) / float64(senders)
+	rate := math.Max(0, g.coldRate-float64(senders)) / float64(senders)
 	m.coldTokens = math.Min(1, m.coldTokens+rate*now.Sub(m.coldAt).Seconds())
 	m.coldAt = now
 	return m.coldTokens >= 1
 }
 
-// sendsCold reports whether this entry is among the first of all entries in the
-// order that the upstream's id gives them.
-func (g *Group) sendsCold(id string, senders int) bool {
+// sendsCold reports whether this entry is among the first to send to a cold
+// upstream: those of its failure domain come before those of its region and these
+// before others, each in the order that the upstream's id gives them.
+func (g *Group) sendsCold(m *member, senders int) bool {
+	distance := func(e model.Member) int {
+		switch {
+		case e.Domain == m.Domain:
+			return 0
+		case e.Region == m.Region:
+			return 1
+		}
+		return 2
+	}
 	order := slices.Clone(g.entries)
-	h := xxhash.Sum64String(id)
-	slices.SortFunc(order, func(a, b string) int {
-		return cmp.Compare(mix(h^xxhash.Sum64String(a)), mix(h^xxhash.Sum64String(b)))
+	slices.SortFunc(order, func(a, b model.Member) int {
+		return cmp.Or(
+			cmp.Compare(distance(a), distance(b)),
+			cmp.Compare(mix(m.hash^xxhash.Sum64String(a.ID)), mix(m.hash^xxhash.Sum64String(b.ID))),
+		)
 	})
-	return slices.Contains(order[:senders], g.self)
+	return slices.ContainsFunc(order[:senders], func(e model.Member) bool { return e.ID == g.self })
 }
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -103,11 +103,11 @@
 	// probeAt is when a region most of which fails may next be tried first.
 	probeAt map[string]time.Time
 
-	// self and domain are the id and failure domain of this entry, entries the ids
-	// of all that are live.
+	// self and domain are the id and failure domain of this entry, entries all that
+	// are live.
 	self    string
 	domain  string
-	entries []string
+	entries []model.Member
 	// coldRate bounds the requests to a cold upstream per second from all entries.
 	coldRate float64
 	// byClass are the times that classes of requests take, meanWork that of all.
@@ -154,7 +154,7 @@
 	defer g.mu.Unlock()
 	first := len(g.byID) == 0
 	g.warmup, g.coldRate, g.draining = svc.Warmup, svc.ColdRate, in.Draining
-	g.self, g.domain, g.entries = in.Self, in.Domain, ids(in.Entries)
+	g.self, g.domain, g.entries = in.Self, in.Domain, in.Entries
 	g.regions, g.all = make(map[string][]*member), nil
 	seen := make(map[string]bool)
 	for _, u := range svc.Upstreams {
@@ -180,14 +180,6 @@
 	g.weigh(in.Home, demandByRegion(in.Entries))
 }
 
-func ids(entries []model.Member) []string {
-	out := make([]string, len(entries))
-	for i, e := range entries {
-		out[i] = e.ID
-	}
-	return out
-}
-
 // forget drops an upstream that is gone once its last request has ended.
 func (g *Group) forget(id string, m *member) {
 	if m.gone && m.inFlight == 0 {
--- a/internal/balance/warmth.go
+++ b/internal/balance/warmth.go
@@ -10,6 +10,9 @@
 	maxRemembered = 512
 	// workWeight is the weight of a new sample in the mean work.
 	workWeight = 0.1
+	// bytesWeight is that of a new sample in the mean size. Sizes vary widely, and
+	// the mean decides where objects are placed, so that it should move slowly.
+	bytesWeight = 0.005
 )
 
 // times are the mean times that requests of one class take at an upstream
@@ -71,7 +74,7 @@
 	if t.bytes == 0 {
 		t.bytes = float64(r.Bytes)
 	}
-	t.bytes += workWeight * (float64(r.Bytes) - t.bytes)
+	t.bytes += bytesWeight * (float64(r.Bytes) - t.bytes)
 	took := now.Sub(c.Picked) - g.roundTrip[c.Region]
 	if !c.unqueued || r.Waiting > 0 || g.cold(m, now) || took <= 0 {
 		return
--- a/internal/forward/slot.go
+++ b/internal/forward/slot.go
@@ -36,11 +36,7 @@
 		return balance.Choice{}, verdict.New(verdict.NotRun, string(d.Reason), nil).After(d.RetryAfter)
 	}
 	if svc.Routed {
-		choice, err := l.group.PickObject(now, cl.objectRequest())
-		if err != nil {
-			return balance.Choice{}, verdict.New(verdict.NotRun, reasonOf(err), err).After(l.retryAfter(regions[0]))
-		}
-		return choice, nil
+		return takeForObject(now, cl, l, regions[0])
 	}
 	req := balance.Request{Regions: regions, Allowed: c.allowed(svc), Tried: cl.tried}
 	if l.queue.Len() == 0 && !patient {
@@ -55,10 +51,25 @@
 	return c.wait(ctx, l, req, svc.Queue, d.GiveUp, patient)
 }
 
+// takeForObject picks an upstream for the call's object.
+func takeForObject(now time.Time, cl *call, l *lane, region string) (balance.Choice, *verdict.Error) {
+	choice, err := l.group.PickObject(now, cl.objectRequest())
+	var late *balance.LateError
+	switch {
+	case err == nil:
+		return choice, nil
+	case errors.As(err, &late):
+		return balance.Choice{}, verdict.New(verdict.NotRun, reasonLate, err).After(late.RetryAfter)
+	}
+	return balance.Choice{}, verdict.New(verdict.NotRun, reasonOf(err), err).After(l.retryAfter(region))
+}
+
 // Reasons of a request that no upstream can take.
 const (
 	reasonNoUpstream = "no-upstream"
 	reasonNoSlot     = "no-slot"
+	// reasonLate means that the answer would come too late now.
+	reasonLate = "would-be-late"
 )
 
 func reasonOf(err error) string {
