Assume half the objective for work that was not measured yet

Change: until work was measured, it is taken to need half of the route's objective; every refusal for want of room says how long the wait is.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -29,6 +29,9 @@
 	// object in each failure domain. Below, one more warm replica costs more than
 	// the bytes that stay.
 	largeBytes = 3000
+	// priorShare is the part of a class's objective that its work is taken to need
+	// until that was measured: operators set objectives that leave room to wait.
+	priorShare = 0.5
 	// farWeight is the weight of regions that nothing has to spill to: enough to
 	// have an order among their upstreams when all nearer ones are gone.
 	farWeight = 1e-6
@@ -80,7 +83,7 @@
 	}
 	best, rank := g.quickest(now, req, ranked)
 	if best == nil {
-		return Choice{}, g.full(now, ranked)
+		return Choice{}, g.full(now, req, ranked)
 	}
 	c := Choice{Upstream: best.Upstream, Picked: now, Rank: rank, class: req.Class, object: req.Object}
 	c.Warm = best.warmFor(req.Object, now)
@@ -110,16 +113,14 @@
 // Unwrap returns ErrNoSlot, of which a LateError is a kind.
 func (e *LateError) Unwrap() error { return ErrNoSlot }
 
-// full is the error when no candidate may take a request: if one could, but only
-// too late, it says when to come back.
-func (g *Group) full(now time.Time, ranked []candidate) error {
-	var least time.Duration
-	for _, c := range ranked {
-		if w := g.wait(c.m, now); g.hasRoom(c.m, now) && (least == 0 || w < least) {
-			least = w
-		}
+// full is the error when no candidate may take a request. It says when the first
+// of them should have a slot.
+func (g *Group) full(now time.Time, req ObjectRequest, ranked []candidate) error {
+	least := g.wait(ranked[0].m, now, req)
+	for _, c := range ranked[1:] {
+		least = min(least, g.wait(c.m, now, req))
 	}
-	if least == 0 {
+	if least <= 0 {
 		return ErrNoSlot
 	}
 	return &LateError{RetryAfter: least}
@@ -235,18 +236,25 @@
 // comes back, and does not make others late. An object that is not at hand is no
 // reason, or it would never be.
 func (g *Group) tooLate(m *member, now time.Time, req ObjectRequest) bool {
-	wait := g.wait(m, now)
+	wait := g.wait(m, now, req)
 	if req.Objective <= 0 || wait <= 0 {
 		return false
 	}
-	return g.roundTrip[m.Region]+wait+g.times(req.Class).warm > req.Objective
+	warm := cmp.Or(g.times(req.Class).warm, req.priorWork())
+	return g.roundTrip[m.Region]+wait+warm > req.Objective
+}
+
+// priorWork is what is assumed of the work before any was seen, as after a
+// restart, when all callers come back at once.
+func (r *ObjectRequest) priorWork() time.Duration {
+	return time.Duration(priorShare * float64(r.Objective))
 }
 
 // wait is the expected time until one more request at an upstream gets a slot.
-func (g *Group) wait(m *member, now time.Time) time.Duration {
+func (g *Group) wait(m *member, now time.Time, req ObjectRequest) time.Duration {
 	slots := float64(max(m.Slots, 1))
 	ahead := math.Max(0, g.estimate(m, now)+1+float64(m.failures)-slots) / slots
-	return time.Duration(ahead * float64(g.meanWork))
+	return time.Duration(ahead * float64(cmp.Or(g.meanWork, req.priorWork())))
 }
 
 // hasRoom reports whether one more request may join those at an upstream.
@@ -274,7 +282,7 @@
 	if m.warmFor(req.Object, now) {
 		work = t.warm
 	}
-	return g.roundTrip[m.Region] + g.wait(m, now) + work + g.crossing(m, t)
+	return g.roundTrip[m.Region] + g.wait(m, now, req) + work + g.crossing(m, t)
 }
 
 // crossing is the time that a request would rather wait than have its bytes cross
