--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -214,13 +214,28 @@
 }
 
 // quickest returns the candidate with the least expected time to its answer, and
-// its rank; nil if all are full.
+// its rank; nil if all are full. The first candidate and those that have the object
+// at hand come first. Only if none of them can take the request, another one may
+// that is idle enough to get the object at hand: each further replica costs its
+// upstream the whole work, and under load no upstream has room for that.
 func (g *Group) quickest(now time.Time, req ObjectRequest, ranked []candidate) (*member, int) {
+	warm := func(i int, m *member) bool { return i == 0 || req.Spread || m.warmFor(req.Object, now) }
+	if m, rank := g.least(now, req, ranked, warm); m != nil {
+		return m, rank
+	}
+	return g.least(now, req, ranked, func(_ int, m *member) bool {
+		return g.estimate(m, now)+1 <= float64(m.Slots)
+	})
+}
+
+// least returns the candidate with the least expected time among those that may be
+// used, and its rank.
+func (g *Group) least(now time.Time, req ObjectRequest, ranked []candidate, may func(int, *member) bool) (*member, int) {
 	var best *member
 	var least time.Duration
 	rank := 0
 	for i, c := range ranked {
-		if !g.hasRoom(c.m, now) || g.tooLate(c.m, now, req) {
+		if !may(i, c.m) || !g.hasRoom(c.m, now) || g.tooLate(c.m, now, req) {
 			continue
 		}
 		t := g.expected(c.m, now, req, i)
