Heed SIGHUP and changed settings instead of ending

Change: process.Reload looks at the settings at a SIGHUP and every 5 s; new bounds are taken in, a file with faults is refused and the old bounds stay.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,6 +36,9 @@
 	// retryShare is the part of the platform's retry budget that is used, since
 	// the nodes may see different requests in its window.
 	retryShare = 0.7
+	// reloadEvery is the time between looks for settings that changed without a
+	// signal.
+	reloadEvery = 5 * time.Second
 	// dialTimeout bounds the wait for a connection to an upstream. The farthest
 	// regions are some 0.2 s apart and back.
 	dialTimeout = 700 * time.Millisecond
@@ -51,7 +55,7 @@
 				return err
 			}
 			process.InitLog(0)
-			return run(ctx, s)
+			return run(ctx, platform.SettingsPath(), s)
 		},
 		Commands: []*cli.Command{{
 			Name:  "check",
@@ -68,7 +72,7 @@
 	clicommon.Exit(name, cmd.Run(context.Background(), os.Args))
 }
 
-func run(ctx context.Context, s *platform.Settings) error {
+func run(ctx context.Context, path string, s *platform.Settings) error {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 	}
@@ -79,12 +83,7 @@
 		Self:    self,
 		Regions: s.Regions,
 		Rejoin:  rejoin,
-		Policy: view.Policy{
-			RetryRatio: retryShare * s.Bounds.RetryRatio,
-			RetrySlack: retryShare * s.Bounds.RetrySlack,
-			ColdFactor: s.Bounds.ColdFactor,
-			ColdSlack:  s.Bounds.ColdSlack,
-		},
+		Policy:  policy(s.Bounds),
 	}, forward.Options{Self: s.ID, Domain: s.Domain, Room: room, Now: time.Now, Protocol: platform.Protocol{}, DialTimeout: dialTimeout})
 
 	store := platform.NewStore(s.Store)
@@ -111,11 +110,33 @@
 		n.Synced()
 	}()
 	go registrar.Run(stop)
+	var grace atomic.Int64
+	grace.Store(int64(s.Bounds.Grace))
+	go process.Reload(following, path, s.Content, reloadEvery, func(content []byte) {
+		next, err := platform.ParseSettings(path, content)
+		if err != nil {
+			klog.ErrorS(err, "settings refused, those before stay in force")
+			return
+		}
+		klog.InfoS("settings changed", "path", path)
+		grace.Store(int64(next.Bounds.Grace))
+		n.Apply(func(v *view.View, _ time.Time) { v.SetPolicy(policy(next.Bounds)) })
+	})
 	<-stop.Done()
-	n.Stop(s.Bounds.Grace)
+	n.Stop(time.Duration(grace.Load()))
 	return nil
 }
 
+// policy returns how much of the platform's bounds the nodes use.
+func policy(b platform.Bounds) view.Policy {
+	return view.Policy{
+		RetryRatio: retryShare * b.RetryRatio,
+		RetrySlack: retryShare * b.RetrySlack,
+		ColdFactor: b.ColdFactor,
+		ColdSlack:  b.ColdSlack,
+	}
+}
+
 // listen opens the addresses for requests, look-ups and readiness checks.
 func listen(n *node.Node, s *platform.Settings) error {
 	for _, l := range []struct {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -83,6 +83,9 @@
 	return true
 }
 
+// SetPolicy changes the bounds.
+func (v *View) SetPolicy(p Policy) { v.opt.Policy = p }
+
 // Config returns the configuration in force, or nil.
 func (v *View) Config() *model.Config { return v.config }
 
