--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -111,7 +111,7 @@
 	switch err.Reason {
 	case ReasonShed:
 		r.Result = balance.Shed
-	case reasonUnreachable:
+	case reasonUnreachable, ReasonReplaced:
 		r.Result = balance.Unreachable
 	case reasonCallerGone, reasonBodyUsed, reasonCallerBody, reasonTooLarge:
 		r.Result = balance.Abandoned
