Pass over upstreams that answer nothing

Change: one with requests under way that has answered none for 1.2 s beside the expected wait gets nothing new, unless most are silent.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -97,6 +97,9 @@
 	if g.cold(best, now) {
 		best.coldTokens--
 	}
+	if best.inFlight == 0 {
+		best.heardAt = now
+	}
 	best.inFlight++
 	g.inFlight[best.Region]++
 	return c, nil
@@ -165,16 +168,26 @@
 	return slices.ContainsFunc(cs, func(c candidate) bool { return c.m.Domain == domain })
 }
 
-// byPlace returns the usable upstreams in the object's order.
+// byPlace returns the usable upstreams in the object's order. Silent ones are left
+// out, unless most are: then it is more likely that this entry is cut off.
 func (g *Group) byPlace(now time.Time, req ObjectRequest) []candidate {
-	out := make([]candidate, 0, len(g.all))
+	all := make([]candidate, 0, len(g.all))
+	answering := make([]candidate, 0, len(g.all))
 	for _, m := range g.all {
-		if g.usable(m, now, req) {
-			out = append(out, candidate{m, place(req.Object, m)})
+		if !g.usable(m, now, req) {
+			continue
 		}
+		c := candidate{m, place(req.Object, m)}
+		all = append(all, c)
+		if !g.silent(m, now) {
+			answering = append(answering, c)
+		}
+	}
+	if float64(len(all)-len(answering)) <= maxEjected*float64(len(all)) {
+		all = answering
 	}
-	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
-	return out
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
+	return all
 }
 
 // usable reports whether an upstream may get the request at all.
--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -172,6 +172,25 @@
 	}
 }
 
+// TestSilentUpstreamIsPassedOver leaves a request without an answer for longer than
+// any work takes.
+func TestSilentUpstreamIsPassedOver(t *testing.T) {
+	s, entries := site(3, 8)
+	g := groupAt(s, entries, entries[0])
+	first := pickObject(t, g, t0, 1)
+	if c := pickObject(t, g, t0.Add(silentAfter), 1); c.ID != first.ID {
+		t.Error("passed over too early")
+	}
+	late := t0.Add(silentAfter + time.Millisecond)
+	if c := pickObject(t, g, late, 1); c.ID == first.ID {
+		t.Error("a silent upstream was picked")
+	}
+	g.Done(late, first, Report{Result: OK, Load: 0})
+	if c := pickObject(t, g, late, 1); c.ID != first.ID {
+		t.Error("still passed over after an answer")
+	}
+}
+
 // TestPeersRequestsCount lets a peer fill an object's first upstream.
 func TestPeersRequestsCount(t *testing.T) {
 	s, entries := site(2, 2)
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -34,6 +34,10 @@
 	// probeEvery is the time between requests that look whether a region most of
 	// which failed is well again.
 	probeEvery = 100 * time.Millisecond
+	// silentAfter is after what time without any answer, beside the expected wait, an
+	// upstream with requests under way is taken for dead. Cold work takes up to a
+	// second at both users' sites.
+	silentAfter = 1200 * time.Millisecond
 	// shedFor is how long an upstream that shed load is taken for full. It says
 	// nothing about the others.
 	shedFor = 50 * time.Millisecond
@@ -65,6 +69,9 @@
 	ejections    int
 	ejectedUntil time.Time
 	drainUntil   time.Time
+	// heardAt is when the upstream last answered, or when the first of the requests
+	// under way was sent if that was later.
+	heardAt time.Time
 	// shedUntil is until when an upstream that shed load is taken for full.
 	shedUntil time.Time
 	// coldSince is when the upstream appeared; zero for one that was there first.
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -45,15 +45,24 @@
 
 func (m *member) ejected(now time.Time) bool { return now.Before(m.ejectedUntil) }
 
+// silent reports whether an upstream has requests of this entry and has answered
+// none for longer than they should take. Its instance may be dead or cut off; its
+// entry in the platform's list tells so only seconds later.
+func (g *Group) silent(m *member, now time.Time) bool {
+	return m.inFlight > 0 && now.Sub(m.heardAt) > silentAfter+g.wait(m, now, ObjectRequest{})
+}
+
 func (g *Group) judge(m *member, now time.Time, took time.Duration, r Result) {
 	switch r {
 	case OK:
+		m.heardAt = now
 		m.failures, m.ejections = 0, 0
 		if m.latency == 0 {
 			m.latency = took
 		}
 		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
 	case Shed:
+		m.heardAt = now
 		m.shedUntil = now.Add(shedFor)
 	case Failed, Unreachable:
 		m.failures++
