Log each request that did not simply succeed in its time; serve metrics

Lines go to standard output through a buffer that never blocks and counts what it drops; each kind of line (refused, may-have-run, failed, retried, late, second-replica) is bounded to ten a second with what was left out.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
@@ -17,6 +19,7 @@
 	clicommon "github.com/loomkeel/loomkeel/internal/cli"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/inflight"
+	"github.com/loomkeel/loomkeel/internal/metrics"
 	"github.com/loomkeel/loomkeel/internal/node"
 	"github.com/loomkeel/loomkeel/internal/process"
 	"github.com/loomkeel/loomkeel/internal/view"
@@ -54,7 +57,8 @@
 			if err != nil {
 				return err
 			}
-			process.InitLog(0)
+			log := process.LogToStdout()
+			defer log.Flush()
 			return run(ctx, platform.SettingsPath(), s)
 		},
 		Commands: []*cli.Command{{
@@ -147,6 +151,7 @@
 		{s.Directory, func() (*process.Server, error) {
 			return process.Listen(s.Directory, platform.DirectoryHandler(n.Members, s.Bounds.MaxLifetime))
 		}},
+		{s.Debug, func() (*process.Server, error) { return process.Listen(s.Debug, debugHandler(n)) }},
 		{s.Readiness, func() (*process.Server, error) {
 			return process.Listen(s.Readiness, platform.ReadinessHandler(n.Ready))
 		}},
@@ -159,3 +164,12 @@
 	}
 	return nil
 }
+
+// debugHandler serves the metrics and the dump of the process's state.
+func debugHandler(n *node.Node) http.Handler {
+	metrics.Publish("entry", func() any { return n.Entry.Metrics() })
+	metrics.Publish("node", func() any { return n.Status() })
+	r := chi.NewRouter()
+	process.Debug(r, n.Ready, func() any { return n.Dump() })
+	return r
+}
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -373,6 +373,3 @@
 	}
 	return demand
 }
-
-// Object returns the hash of the object that the choice was made for.
-func (c Choice) Object() uint64 { return c.object }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/loomkeel/loomkeel/internal/bootclock"
 	"github.com/loomkeel/loomkeel/internal/follow"
 	"github.com/loomkeel/loomkeel/internal/forward"
+	"github.com/loomkeel/loomkeel/internal/logs"
 	"github.com/loomkeel/loomkeel/internal/metrics"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/share"
@@ -29,6 +31,7 @@
 	mu      sync.Mutex
 	byEnd   map[end]int64
 	latency map[string]*metrics.Latency
+	lines   *logs.Limiter
 }
 
 // end is a way for a request to end.
@@ -40,7 +43,7 @@
 
 // New returns an Entry. It sets Options.Observe, NewID, Book and Boot.
 func New(opt forward.Options) *Entry {
-	e := &Entry{book: share.NewBook(), byEnd: make(map[end]int64), latency: make(map[string]*metrics.Latency)}
+	e := &Entry{book: share.NewBook(), byEnd: make(map[end]int64), latency: make(map[string]*metrics.Latency), lines: logs.NewLimiter(linesPerSecond, lineBurst)}
 	opt.Observe, opt.NewID = e.observe, newID
 	opt.Book, opt.Boot = e.book, bootclock.Now
 	e.Carrier = forward.New(opt)
@@ -64,9 +67,49 @@
 	}
 	e.mu.Unlock()
 	l.Record(uint32(o.Took), o.Took)
-	klog.V(2).InfoS("request", "id", o.ID, "service", o.Service, "status", o.Status, "verdict", o.Verdict,
-		"reason", o.Reason, "took", o.Took, "attempts", o.Attempts, "upstream", o.Choice.ID, "rank", o.Choice.Rank, "object", o.Choice.Object(),
-		"warm", o.Choice.Warm, "ahead", o.Choice.Ahead, "expected", o.Choice.Expected, "load", o.Told.Load, "waiting", o.Told.Waiting)
+	e.log(o)
+}
+
+const (
+	// linesPerSecond and lineBurst bound the lines of each kind about requests.
+	linesPerSecond = 10
+	lineBurst      = 40
+)
+
+// log writes a line about a request that did not simply succeed in its time; at
+// verbosity 2 about every request.
+func (e *Entry) log(o forward.Outcome) {
+	k := kindOf(o)
+	if k == "" && !klog.V(2).Enabled() {
+		return
+	}
+	left, ok := e.lines.Allow(time.Now(), k)
+	if !ok {
+		return
+	}
+	klog.InfoS("request", "kind", k, "id", o.ID, "service", o.Service, "route", o.Route, "version", o.Version,
+		"status", o.Status, "verdict", o.Verdict, "reason", o.Reason, "took", o.Took, "attempts", o.Attempts,
+		"upstream", o.Choice.ID, "region", o.Choice.Region, "rank", o.Choice.Rank, "warm", o.Choice.Warm,
+		"ahead", o.Choice.Ahead, "expected", o.Choice.Expected, "load", o.Told.Load, "waiting", o.Told.Waiting, "left_out", left)
+}
+
+// kindOf says what is remarkable about a request; empty if nothing is.
+func kindOf(o forward.Outcome) string {
+	switch {
+	case o.Status == http.StatusServiceUnavailable && o.Verdict == verdict.NotRun:
+		return "refused"
+	case o.Verdict == verdict.MayHaveRun:
+		return "may-have-run"
+	case o.Status >= http.StatusBadRequest:
+		return "failed"
+	case o.Attempts > 1:
+		return "retried"
+	case o.Objective > 0 && o.Took > o.Objective:
+		return "late"
+	case o.Choice.Rank > 0:
+		return "second-replica"
+	}
+	return ""
 }
 
 // Metrics returns the counters and percentiles of each service.
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -62,6 +62,12 @@
 type Outcome struct {
 	Service string
 	ID      string
+	// Route is the name of the request's route, Objective the latency within which
+	// its answer has its full worth; empty if it has no route.
+	Route     string
+	Objective time.Duration
+	// Version is that of the configuration that the request was served by.
+	Version uint64
 	// Choice is the last upstream that was picked.
 	Choice balance.Choice
 	// Told is what its answer said.
@@ -201,7 +207,10 @@
 // carry serves a request that is understood.
 func (c *Carrier) carry(w http.ResponseWriter, r *http.Request, snap *model.Snapshot, ask Ask, out *Outcome) {
 	svc := c.serviceOf(snap, &ask)
-	out.Service = ask.Service
+	out.Service, out.Version = ask.Service, snap.Revision
+	if ask.Route != nil {
+		out.Route, out.Objective = ask.Route.Name, ask.Route.Objective
+	}
 	if svc == nil {
 		// A route may name a service that has no settings and no upstream yet.
 		c.refuse(w, out, refusalFor(verdict.New(verdict.NotRun, reasonNoUpstream, nil).After(stopRetry), verdict.NotRun))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,55 @@
 	klog.InfoS("stopped", "in_flight", n.Entry.Carrier.InFlight(), "took", n.now().Sub(began))
 }
 
+// Status is what the node knows, for metrics.
+type Status struct {
+	Ready    bool   `json:"ready"`
+	Stopping bool   `json:"stopping"`
+	Version  uint64 `json:"config_version"`
+	Members  int    `json:"members"`
+	// Upstreams is how many each service has, Leaving how many of them get no new
+	// work.
+	Upstreams map[string]int `json:"upstreams"`
+	Leaving   map[string]int `json:"leaving"`
+	InFlight  int            `json:"in_flight"`
+}
+
+// Status returns what the node knows in short.
+func (n *Node) Status() Status {
+	s := Status{
+		Ready: n.Ready(), Stopping: n.stopping.Load(), Members: len(*n.members.Load()), InFlight: n.Entry.Carrier.InFlight(),
+		Upstreams: make(map[string]int), Leaving: make(map[string]int),
+	}
+	snap := n.Entry.Carrier.Snapshot()
+	if snap == nil {
+		return s
+	}
+	s.Version = snap.Revision
+	now := n.now()
+	for name, svc := range snap.Services {
+		s.Upstreams[name] = len(svc.Upstreams)
+		for i := range svc.Upstreams {
+			if snap.Draining(&svc.Upstreams[i], now) {
+				s.Leaving[name]++
+			}
+		}
+	}
+	return s
+}
+
+// Dump is everything that the node decides by.
+type Dump struct {
+	Status   Status                           `json:"status"`
+	Members  []model.Member                   `json:"members"`
+	Services map[string]forward.ServiceStatus `json:"services"`
+	Metrics  map[string]entry.ServiceMetrics  `json:"metrics"`
+}
+
+// Dump returns the node's state.
+func (n *Node) Dump() Dump {
+	return Dump{n.Status(), *n.members.Load(), n.Entry.Carrier.Dump(), n.Entry.Metrics()}
+}
+
 // Reports sets up the exchange of reports with the other nodes.
 func (n *Node) Reports(self model.Member) inflight.Options {
 	return inflight.Options{
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,9 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/net/netutil"
 	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/logs"
+	"github.com/loomkeel/loomkeel/internal/metrics"
 )
 
 // Version is the version of the programs.
@@ -44,6 +47,19 @@
 	_ = fs.Set("logtostderr", "true")
 }
 
+// LogToStdout has klog write to standard output without ever waiting for its
+// reader. The writer is to be flushed before the process ends.
+func LogToStdout() *logs.Writer {
+	w := logs.NewWriter(os.Stdout)
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	_ = fs.Set("logtostderr", "false")
+	_ = fs.Set("one_output", "true")
+	klog.SetOutput(w)
+	metrics.Publish("log_lines_dropped", func() any { return w.Dropped() })
+	return w
+}
+
 const (
 	// gcPercent lets the heap grow by half, not to double, between collections:
 	// an instance is small, and control may take only a part of it.
