Let an upload that is refused before it was read go on

Change: the next attempt waits up to 0.25 s for that read to end, and 256 KB of a body are kept. The test failed before each time (status 503).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -48,7 +48,7 @@
 // attempt sends the call to one upstream. The error, if any, has the verdict of
 // this attempt alone.
 func (c *Carrier) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*answer, *verdict.Error) {
-	body, ok := cl.body.attach()
+	body, ok := cl.body.attach(ctx)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, reasonBodyUsed, nil)
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -1,14 +1,24 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
-// replayLimit is how much of a request body is kept for another attempt.
-const replayLimit = 64 << 10
+const (
+	// replayLimit is how much of a request body is kept for another attempt. An
+	// upload of some 100 KB, which an upstream may refuse before it has read it,
+	// fits; a hundred of them take a tenth of a small instance's memory.
+	replayLimit = 256 << 10
+	// handOver is how long an attempt waits for the one before to end its read of
+	// the caller's body, and handOverPoll how often it looks.
+	handOver     = 250 * time.Millisecond
+	handOverPoll = 2 * time.Millisecond
+)
 
 // errDetached is what a read of an ended attempt's body returns.
 var errDetached = errors.New("forward: attempt has ended")
@@ -37,12 +47,14 @@
 	pos  int
 }
 
-// attach returns the body for the next attempt, from its start. It reports
-// false if that is no longer possible: too much was read, or the attempt before
-// still reads.
-func (b *replayBody) attach() (*attemptBody, bool) {
-	if !b.mu.TryLock() {
-		return nil, false
+// attach returns the body for the next attempt, from its start. It reports false if
+// that is no longer possible: too much was read, or the attempt before still reads
+// when ctx or the time for handing over ends.
+func (b *replayBody) attach(ctx context.Context) (*attemptBody, bool) {
+	for end := time.Now().Add(handOver); !b.mu.TryLock(); time.Sleep(handOverPoll) {
+		if ctx.Err() != nil || time.Now().After(end) {
+			return nil, false
+		}
 	}
 	defer b.mu.Unlock()
 	if b.over {
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -196,3 +196,53 @@
 		}
 	}
 }
+
+// TestUploadRefusedEarlyGoesOn has an upstream refuse an upload before it has read
+// it, while the caller still sends. The next one must get the whole body.
+func TestUploadRefusedEarlyGoesOn(t *testing.T) {
+	const size = 100_000
+	got := make(chan int64, 4)
+	refused := make(chan struct{})
+	s := newScript(t, func(n int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if n == 0 {
+			fmt.Fprint(c, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
+			close(refused)
+			_, _ = io.Copy(io.Discard, r)
+			return
+		}
+		length, _ := io.Copy(io.Discard, req.Body)
+		got <- length
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	// Two upstreams at one address: whichever is picked first refuses.
+	e := newEntry(t, []*fake{{lis: s.lis}, {lis: s.lis}})
+	body, sender := io.Pipe()
+	go func() {
+		half := strings.Repeat("x", size/2)
+		io.WriteString(sender, half)
+		<-refused
+		io.WriteString(sender, half)
+		sender.Close()
+	}()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/photo", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Loomkeel-Service", "orders")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+		return
+	}
+	if n := <-got; n != size {
+		t.Errorf("%d of %d bytes arrived", n, size)
+	}
+}
