--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -108,13 +108,17 @@
 // LateError reports that every upstream would answer too late for the objective
 // now, but probably not after a while.
 type LateError struct {
-	// RetryAfter is the least wait for a slot.
+	// Upstream is the one with the least wait for a slot, Ahead how many requests
+	// were thought to be there.
+	Upstream string
+	Ahead    float64
+	// RetryAfter is that wait.
 	RetryAfter time.Duration
 }
 
 // Error implements error.
 func (e *LateError) Error() string {
-	return fmt.Sprintf("balance: too late now, perhaps not in %v", e.RetryAfter)
+	return fmt.Sprintf("balance: too late now: %.0f requests at %s, a slot in %v", e.Ahead, e.Upstream, e.RetryAfter.Round(time.Millisecond))
 }
 
 // Unwrap returns ErrNoSlot, of which a LateError is a kind.
@@ -123,14 +127,16 @@
 // full is the error when no candidate may take a request. It says when the first
 // of them should have a slot.
 func (g *Group) full(now time.Time, req ObjectRequest, ranked []candidate) error {
-	least := g.wait(ranked[0].m, now, req)
+	first, least := ranked[0].m, g.wait(ranked[0].m, now, req)
 	for _, c := range ranked[1:] {
-		least = min(least, g.wait(c.m, now, req))
+		if w := g.wait(c.m, now, req); w < least {
+			first, least = c.m, w
+		}
 	}
 	if least <= 0 {
 		return ErrNoSlot
 	}
-	return &LateError{RetryAfter: least}
+	return &LateError{Upstream: first.ID, Ahead: g.estimate(first, now), RetryAfter: least}
 }
 
 // rank returns the upstreams that share an object, at most replicas, by place. A
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -71,10 +71,12 @@
 	// Choice is the last upstream that was picked.
 	Choice balance.Choice
 	// Told is what its answer said.
-	Told     Told
-	Status   int
-	Verdict  verdict.Verdict
-	Reason   string
+	Told    Told
+	Status  int
+	Verdict verdict.Verdict
+	Reason  string
+	// Detail explains an answer that loomkeel itself made.
+	Detail   string
 	Took     time.Duration
 	Attempts int
 }
@@ -251,7 +253,7 @@
 }
 
 func (c *Carrier) refuse(w http.ResponseWriter, out *Outcome, f *refusal) {
-	out.Status, out.Verdict, out.Reason = f.status, f.verdict, f.reason
+	out.Status, out.Verdict, out.Reason, out.Detail = f.status, f.verdict, f.reason, f.detail
 	f.write(w, c.opt.Protocol, out.ID)
 }
 
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -203,20 +204,27 @@
 	const size = 100_000
 	got := make(chan int64, 4)
 	refused := make(chan struct{})
-	s := newScript(t, func(n int, c net.Conn, r *bufio.Reader) {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		if n == 0 {
-			fmt.Fprint(c, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
-			close(refused)
-			_, _ = io.Copy(io.Discard, r)
-			return
+	var requests atomic.Int32
+	s := newScript(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			refuse := requests.Add(1) == 1
+			if refuse {
+				fmt.Fprint(c, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
+				close(refused)
+			}
+			length, err := io.Copy(io.Discard, req.Body)
+			if err != nil {
+				return
+			}
+			if !refuse {
+				got <- length
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
 		}
-		length, _ := io.Copy(io.Discard, req.Body)
-		got <- length
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	})
 	// Two upstreams at one address: whichever is picked first refuses.
 	e := newEntry(t, []*fake{{lis: s.lis}, {lis: s.lis}})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,7 @@
 	// look-up answers that name it for about as long.
 	linger = 3 * time.Second
 	// killMargin is how long before the kill a stopping node ends by itself.
-	killMargin = 200 * time.Millisecond
+	killMargin = 500 * time.Millisecond
 )
 
 // Node is the state of one process. It is safe for concurrent use.
