--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -7,16 +7,18 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/rotisserie/eris"
-	"github.com/urfave/cli/v3"
+	urfave "github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
-	clicommon "github.com/loomkeel/loomkeel/internal/cli"
+	"github.com/loomkeel/loomkeel/internal/cli"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/inflight"
 	"github.com/loomkeel/loomkeel/internal/metrics"
@@ -48,11 +50,11 @@
 )
 
 func main() {
-	cmd := &cli.Command{
+	cmd := &urfave.Command{
 		Name:    name,
 		Usage:   "answer look-ups and carry requests on an instance of the platform",
 		Version: process.Version,
-		Action: func(ctx context.Context, _ *cli.Command) error {
+		Action: func(ctx context.Context, _ *urfave.Command) error {
 			s, err := platform.Load(platform.SettingsPath())
 			if err != nil {
 				return err
@@ -61,10 +63,10 @@
 			defer log.Flush()
 			return run(ctx, platform.SettingsPath(), s)
 		},
-		Commands: []*cli.Command{{
+		Commands: []*urfave.Command{{
 			Name:  "check",
 			Usage: "read the settings, print all faults, and exit with 1 if there are any",
-			Action: func(context.Context, *cli.Command) error {
+			Action: func(context.Context, *urfave.Command) error {
 				if _, err := platform.Load(platform.SettingsPath()); err != nil {
 					return err
 				}
@@ -73,13 +75,15 @@
 			},
 		}},
 	}
-	clicommon.Exit(name, cmd.Run(context.Background(), os.Args))
+	cli.Exit(name, cmd.Run(context.Background(), os.Args))
 }
 
 func run(ctx context.Context, path string, s *platform.Settings) error {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 	}
+	// Until Reload listens for it, a SIGHUP must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	stop, cancel := process.Signals(ctx)
 	defer cancel()
 	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, s.Peer, time.Now())
