Remove a bound that stood twice; make reportFor a function again

inflight.Fresh was never read: balance.peerFresh is the one in force. reportFor does not use its Carrier. No change of behaviour; vet, staticcheck and the tests of inflight, forward, ablate and docs pass.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -50,7 +50,7 @@
 			sheds++
 			last = err
 			patient = !l.sheds.Take()
-			c.done(l, choice, c.reportFor(err))
+			c.done(l, choice, reportFor(err))
 			continue
 		}
 		out.Attempts++
@@ -62,7 +62,7 @@
 		if err == nil {
 			err = brokenAnswer(ans)
 		}
-		c.done(l, choice, c.reportFor(err))
+		c.done(l, choice, reportFor(err))
 		regions = cl.after(err, choice.Region, regions)
 		cl.outcome = verdict.Join(cl.outcome, err.Verdict)
 		last = err
@@ -106,7 +106,7 @@
 }
 
 // reportFor tells the balancer how a failed attempt reflects on its upstream.
-func (c *Carrier) reportFor(err *verdict.Error) balance.Report {
+func reportFor(err *verdict.Error) balance.Report {
 	r := balance.Report{Result: balance.Failed, Load: -1, Waiting: -1}
 	switch err.Reason {
 	case ReasonShed:
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// Fresh is after what time without a report a peer counts for nothing.
-	Fresh = time.Second
 	// nearPeriod is the time between reports to peers of the own region, and
 	// farPeriod to others. An upstream with three slots gets a request every
 	// 50 ms to 100 ms.
