Let one node of each failure domain read the store for the others

Change: package relay: a cache of all records, served to peers over drpc; the first member of a failure domain in rendezvous order follows the store, the others follow it, then readers of other failure domains, at last the store. A reader that loses the store says so at once; when the store came back is passed on, so that a node which did not notice the loss keeps entries that lapsed. Ruled out: polling less often (a deaf watch must end within 3 s); two readers a failure domain (twice the calls, and a peer in another domain does as well when the first is gone). Found by a test: a follower that moved from its reader to the store right after an outage took lapsed entries for gone.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -24,6 +25,8 @@
 	"github.com/loomkeel/loomkeel/internal/metrics"
 	"github.com/loomkeel/loomkeel/internal/node"
 	"github.com/loomkeel/loomkeel/internal/process"
+	"github.com/loomkeel/loomkeel/internal/relay"
+	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/view"
 	"github.com/loomkeel/loomkeel/platform"
 )
@@ -95,7 +98,10 @@
 	}, forward.Options{Self: s.ID, Domain: s.Domain, Room: room, Now: time.Now, Protocol: platform.Protocol{}, DialTimeout: dialTimeout})
 
 	store := platform.NewStore(s.Store)
-	feed := platform.NewFeed(store, n.Apply)
+	dialer := rpc.NewDialer(nil, nil)
+	feed := platform.NewFeed(platform.FeedOptions{
+		Store: store, Apply: n.Apply, Self: self, Members: n.Members, Peers: relay.NewClient(dialer, time.Now),
+	})
 	registrar, err := platform.NewRegistrar(store, feed, self, s.Store.MinLease)
 	if err != nil {
 		return eris.Wrap(err, "registration")
@@ -103,6 +109,9 @@
 	if err := listen(n, s); err != nil {
 		return err
 	}
+	if err := serveRelay(ctx, s.Peer, feed.Cache()); err != nil {
+		return err
+	}
 	exchange, err := inflight.Listen(n.Reports(self))
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Peer)
@@ -169,6 +178,24 @@
 	return nil
 }
 
+// serveRelay lets other nodes follow what this one has read from the store.
+func serveRelay(ctx context.Context, addr string, cache *relay.Cache) error {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", addr)
+	}
+	mux, err := relay.NewMux(cache, time.Now)
+	if err != nil {
+		return eris.Wrap(err, "relay")
+	}
+	go func() {
+		if err := rpc.Serve(ctx, lis, mux, nil); err != nil {
+			klog.ErrorS(err, "relay ended", "addr", addr)
+		}
+	}()
+	return nil
+}
+
 // debugHandler serves the metrics and the dump of the process's state.
 func debugHandler(n *node.Node) http.Handler {
 	metrics.Publish("entry", func() any { return n.Entry.Metrics() })
--- /dev/null
+++ b/internal/relay/plan.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/fanout"
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+const (
+	// maxRemote is how many readers of other failure domains are asked before the
+	// service itself is.
+	maxRemote = 2
+	// avoidFor is how long a source that failed is passed over. The members that
+	// an entry knows need some seconds to show that one is gone.
+	avoidFor = 3 * time.Second
+)
+
+// Source is what an entry follows: a peer, or the service itself, which is the zero
+// value.
+type Source struct {
+	// ID and Address are those of a peer.
+	ID, Address string
+}
+
+// Service is the source that is the key-value service itself.
+var Service = Source{}
+
+// Plan returns whom an entry follows, the best first. Members may contain the
+// entry itself.
+func Plan(self model.Member, members []model.Member) []Source {
+	byDomain := map[string][]model.Member{self.Domain: {self}}
+	for _, m := range members {
+		if m.ID != self.ID && m.Live() && m.Agent != "" {
+			byDomain[m.Domain] = append(byDomain[m.Domain], m)
+		}
+	}
+	own := reader(self.Domain, byDomain[self.Domain])
+	remote := remoteReaders(self, byDomain)
+	if own.ID == self.ID {
+		return append([]Source{Service}, remote...)
+	}
+	return append(append([]Source{sourceOf(own)}, remote...), Service)
+}
+
+// reader returns the member that follows the service for a failure domain.
+func reader(domain string, members []model.Member) model.Member {
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	first := fanout.Order(domain, ids)[0]
+	return members[slices.Index(ids, first)]
+}
+
+// remoteReaders returns some readers of other failure domains, those of the own
+// region first. Entries spread over them by their ids.
+func remoteReaders(self model.Member, byDomain map[string][]model.Member) []Source {
+	var near, far []string
+	for domain, members := range byDomain {
+		switch {
+		case domain == self.Domain:
+		case members[0].Region == self.Region:
+			near = append(near, domain)
+		default:
+			far = append(far, domain)
+		}
+	}
+	order := append(fanout.Order(self.ID, near), fanout.Order(self.ID, far)...)
+	var out []Source
+	for _, domain := range order[:min(maxRemote, len(order))] {
+		out = append(out, sourceOf(reader(domain, byDomain[domain])))
+	}
+	return out
+}
+
+func sourceOf(m model.Member) Source { return Source{m.ID, m.Agent} }
+
+// Chooser remembers which sources failed. It is not safe for concurrent use.
+type Chooser struct {
+	failed map[Source]time.Time
+}
+
+// NewChooser returns a Chooser that knows of no failure.
+func NewChooser() *Chooser { return &Chooser{failed: make(map[Source]time.Time)} }
+
+// Failed records that a source failed.
+func (c *Chooser) Failed(s Source, now time.Time) {
+	for known, at := range c.failed {
+		if now.Sub(at) >= avoidFor {
+			delete(c.failed, known)
+		}
+	}
+	c.failed[s] = now
+}
+
+// Pick returns the first source of a plan that has not failed just before. If all
+// have, it is the one whose failure is longest ago, and untried is false.
+func (c *Chooser) Pick(plan []Source, now time.Time) (s Source, untried bool) {
+	for _, s := range plan {
+		at, failed := c.failed[s]
+		if !failed || now.Sub(at) >= avoidFor {
+			return s, true
+		}
+	}
+	oldest := slices.MinFunc(plan, func(a, b Source) int { return cmp.Compare(c.failed[a].UnixNano(), c.failed[b].UnixNano()) })
+	return oldest, false
+}
--- /dev/null
+++ b/internal/relay/serve_test.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/rpc"
+)
+
+// serve serves a Cache on loopback and returns its address.
+func serve(t *testing.T, c *Cache) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux, err := NewMux(c, time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = rpc.Serve(ctx, lis, mux, nil)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return lis.Addr().String()
+}
+
+func newClient(t *testing.T) *Client {
+	dialer := rpc.NewDialer(nil, nil)
+	t.Cleanup(func() { dialer.Close() })
+	return NewClient(dialer, time.Now)
+}
+
+func TestFollowOverTheWire(t *testing.T) {
+	cache := following(Batch{Whole: true, Records: []Record{{Key: "a", Value: []byte("1"), Revision: 4}}, Revision: 7})
+	addr, client := serve(t, cache), newClient(t)
+	b, returned, err := client.Changes(t.Context(), addr, 0, time.Second)
+	if err != nil || !b.Whole || b.Revision != 7 || string(b.Records[0].Value) != "1" || !returned.IsZero() {
+		t.Fatalf("%+v, %v, %v", b, returned, err)
+	}
+	cache.Take(Batch{Records: []Record{gone("a", 8)}, Revision: 8})
+	b, _, err = client.Changes(t.Context(), addr, b.Revision, time.Second)
+	if err != nil || b.Whole || !slices.Equal(keysOf(b), []string{"-a"}) {
+		t.Fatalf("%+v, %v", b, err)
+	}
+}
+
+func TestPeerThatDoesNotFollow(t *testing.T) {
+	cache := following(Batch{Whole: true, Revision: 7})
+	cache.SetState(State{Following: false})
+	_, _, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
+	if !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrLost) {
+		t.Error(err)
+	}
+}
+
+func TestPeerTellsThatTheServiceWasAway(t *testing.T) {
+	cache := following(Batch{Whole: true, Revision: 7})
+	back := time.Now().Add(-time.Second)
+	cache.SetState(State{Following: true, Returned: back})
+	_, returned, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
+	if err != nil || returned.Before(back.Add(-time.Second)) || returned.After(time.Now()) {
+		t.Error(returned, back, err)
+	}
+}
+
+// A peer that takes the connection and never answers, as a frozen one does, is given
+// up.
+func TestSilentPeerIsGivenUp(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	if _, _, err := newClient(t).Changes(t.Context(), lis.Addr().String(), 0, time.Millisecond); err == nil {
+		t.Error("a silent peer is believed")
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -214,6 +214,14 @@
 	v.lost = false
 }
 
+// ServiceReturned records when the key-value service came back after it was away,
+// though this node need not have noticed.
+func (v *View) ServiceReturned(at time.Time) {
+	if at.After(v.returned) {
+		v.returned = at
+	}
+}
+
 // unsettled reports whether entries may be missing because the service is or was
 // away, rather than because their owners are.
 func (v *View) unsettled(now time.Time) bool {
