Let a member on a fast link read for its failure domain; compress long values

Logs: 'peer lost', 'context deadline exceeded' at 21.8 to 23.9 s in three failure domains. Ruled out: the reports between nodes (the same without them); the store (stable since 6.3 s). Change: nodes register what their link carries, the fastest come first as readers; values of 8 KB and more go compressed between nodes. Tests: TestFastLinkReads, TestLongValuesShrink.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -90,6 +90,7 @@
 	stop, cancel := process.Signals(ctx)
 	defer cancel()
 	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, s.Peer, time.Now())
+	self.LinkMbps = s.LinkMbps
 	n := node.New(view.Options{
 		Self:    self,
 		Regions: s.Regions,
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -51,6 +51,9 @@
 	Agent    string `json:"agent"`
 	Entry    string `json:"entry,omitempty"`
 	Director string `json:"director,omitempty"`
+	// LinkMbps is what the instance's link carries in Mbit/s; 0 if unknown. Of the
+	// processes only the node tells it.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // Live reports whether the member may be sent work or messages.
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -149,10 +149,15 @@
 	if after >= c.revision && !b.Whole {
 		return b, c.state, c.changed
 	}
-	for _, r := range c.records {
-		if b.Whole && !r.Deleted || !b.Whole && r.Revision > after {
-			b.Records = append(b.Records, r)
+	for key, r := range c.records {
+		if b.Whole && r.Deleted || !b.Whole && r.Revision <= after {
+			continue
+		}
+		if r.packed == nil {
+			r.pack()
+			c.records[key] = r
 		}
+		b.Records = append(b.Records, r)
 	}
 	slices.SortFunc(b.Records, func(x, y Record) int {
 		return cmp.Or(cmp.Compare(x.Revision, y.Revision), cmp.Compare(x.Key, y.Key))
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -45,14 +45,18 @@
 	return append(append([]Source{sourceOf(own)}, remote...), Service)
 }
 
-// reader returns the member that follows the service for a failure domain.
+// reader returns the member that follows the service for a failure domain. It sends
+// everything to all others, so that it is one of those with the fastest link.
 func reader(domain string, members []model.Member) model.Member {
-	ids := make([]string, len(members))
-	for i, m := range members {
-		ids[i] = m.ID
+	fastest := slices.MaxFunc(members, func(a, b model.Member) int { return cmp.Compare(a.LinkMbps, b.LinkMbps) })
+	var ids []string
+	for _, m := range members {
+		if m.LinkMbps == fastest.LinkMbps {
+			ids = append(ids, m.ID)
+		}
 	}
 	first := fanout.Order(domain, ids)[0]
-	return members[slices.Index(ids, first)]
+	return members[slices.IndexFunc(members, func(m model.Member) bool { return m.ID == first })]
 }
 
 // remoteReaders returns some readers of other failure domains, those of the own
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,3 +110,22 @@
 	now = now.Add(avoidFor)
 	expect(a, true)
 }
+
+// TestFastLinkReads has one member of each failure domain on a link that carries
+// much more: a reader sends each change to all of its domain.
+func TestFastLinkReads(t *testing.T) {
+	all := fleet(5)
+	for i := range all {
+		all[i].LinkMbps = 10
+		if strings.HasSuffix(all[i].ID, "-3") {
+			all[i].LinkMbps = 200
+		}
+	}
+	for _, m := range all {
+		plan := Plan(m, all)
+		fast := m.Domain + "-3"
+		if reads := plan[0] == Service; reads != (m.ID == fast) || !reads && plan[0].ID != fast {
+			t.Errorf("%s: %v", m.ID, plan)
+		}
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -87,5 +87,6 @@
 	case reply.GetUnavailable():
 		return Batch{}, returned, ErrUnavailable
 	}
-	return Batch{reply.GetWhole(), recordsFromProto(reply.GetRecords()), reply.GetRevision()}, returned, nil
+	records, err := recordsFromProto(reply.GetRecords())
+	return Batch{reply.GetWhole(), records, reply.GetRevision()}, returned, err
 }
--- a/internal/relay/serve_test.go
+++ b/internal/relay/serve_test.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,3 +88,27 @@
 		t.Error("a silent peer is believed")
 	}
 }
+
+// TestLongValuesShrink sends a configuration of many routes, which is what a reader
+// sends to all of its failure domain over one link.
+func TestLongValuesShrink(t *testing.T) {
+	long := []byte(strings.Repeat(`{"host":"a.example","pathPrefix":"/x/","timeoutS":2.5},`, 10_000))
+	cache := following(Batch{Whole: true, Records: []Record{{Key: "config", Value: long, Revision: 1}}, Revision: 1})
+	b, _ := cache.Wait(t.Context(), 0, 0)
+	if sent := recordsToProto(b.Records)[0]; len(sent.GetPacked()) > len(long)/10 || len(sent.GetValue()) > 0 {
+		t.Errorf("%d bytes become %d", len(long), len(sent.GetPacked())+len(sent.GetValue()))
+	}
+	got, _, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
+	if err != nil || !bytes.Equal(got.Records[0].Value, long) {
+		t.Errorf("%d bytes, %v", len(got.Records[0].Value), err)
+	}
+}
+
+func TestCutValueIsRefused(t *testing.T) {
+	r := Record{Key: "config", Value: bytes.Repeat([]byte("abc"), packFrom)}
+	r.pack()
+	r.packed = r.packed[:len(r.packed)-1]
+	if err := r.unpack(); err == nil || !strings.Contains(err.Error(), "config") {
+		t.Error(err)
+	}
+}
