Collect reports of requests under way at a hub of each failure domain in large fleets

Change: beyond 24 peers each node tells the hub of its failure domain, which is the one that also reads the store; hubs tell each other the sums of their domains and each of theirs the sum of all others. A hub that is silent for 0.5 s is given up for the next in the order, whoever is reported to works as a hub, and the others answer whoever spoke last for a domain. Reports of more than 200 upstreams are split instead of cut.

--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -202,11 +203,11 @@
 		first = serve(t, g, t0, object, 300*time.Millisecond)
 	}
 	full := map[uint32]int{HashID(first.ID): 6}
-	g.Heard(t0, "peer", full)
+	g.Heard(t0, "peer", 0, math.MaxUint32, full)
 	if c := serve(t, g, t0, object, 0); c.ID == first.ID {
 		t.Error("sent to an upstream that a peer has filled")
 	}
-	g.Heard(t0.Add(2*peerFresh), "other", nil)
+	g.Heard(t0.Add(2*peerFresh), "other", 0, math.MaxUint32, nil)
 	if c := serve(t, g, t0.Add(2*peerFresh), object, 0); c.ID != first.ID {
 		t.Error("a silent peer's requests still count")
 	}
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -9,24 +9,52 @@
 // HashID returns the hash by which entries name an upstream to each other.
 func HashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// InFlightAt calls visit with the own requests at each upstream that has any.
-func (g *Group) InFlightAt(visit func(upstream uint32, requests int)) {
+// Counted says whose requests are asked for.
+type Counted struct {
+	// Own is set for those of this entry.
+	Own bool
+	// Peers reports whether those that a peer told of are meant; nil means none.
+	Peers func(peer string) bool
+}
+
+// InFlightAt calls visit with the requests at each upstream that has any of those
+// that are asked for.
+func (g *Group) InFlightAt(whose Counted, visit func(upstream uint32, requests int)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.all {
-		if m.inFlight > 0 {
-			visit(uint32(m.hash), m.inFlight)
+		if n := m.count(whose); n > 0 {
+			visit(uint32(m.hash), n)
+		}
+	}
+}
+
+func (m *member) count(whose Counted) int {
+	n := 0
+	if whose.Own {
+		n = m.inFlight
+	}
+	if whose.Peers == nil {
+		return n
+	}
+	for peer, at := range m.byPeer {
+		if whose.Peers(peer) {
+			n += at
 		}
 	}
+	return n
 }
 
-// Heard takes in how many requests a peer has at each upstream; at one that is
-// not named it has none.
-func (g *Group) Heard(now time.Time, peer string, at map[uint32]int) {
+// Heard takes in how many requests a peer has at the upstreams whose hashes lie from
+// first to last; at one that is not named it has none.
+func (g *Group) Heard(now time.Time, peer string, first, last uint32, at map[uint32]int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.heard[peer] = now
 	for _, m := range g.all {
+		if h := uint32(m.hash); h < first || h > last {
+			continue
+		}
 		n := at[uint32(m.hash)]
 		if was := m.byPeer[peer]; was != n {
 			m.setPeer(peer, n)
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -34,18 +34,20 @@
 	return out
 }
 
-// InFlightAt calls visit with the own requests at each upstream that has any.
-func (c *Carrier) InFlightAt(visit func(upstream uint32, requests int)) {
+// InFlightAt calls visit with the requests at each upstream that has any of those
+// that are asked for.
+func (c *Carrier) InFlightAt(whose balance.Counted, visit func(upstream uint32, requests int)) {
 	for _, l := range c.allLanes() {
-		l.group.InFlightAt(visit)
+		l.group.InFlightAt(whose, visit)
 	}
 }
 
-// Heard takes in how many requests a peer has at each upstream.
-func (c *Carrier) Heard(peer string, at map[uint32]int) {
+// Heard takes in how many requests a peer has at the upstreams whose hashes lie from
+// first to last.
+func (c *Carrier) Heard(peer string, first, last uint32, at map[uint32]int) {
 	now := c.now()
 	for _, l := range c.allLanes() {
-		l.group.Heard(now, peer, at)
+		l.group.Heard(now, peer, first, last, at)
 	}
 }
 
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,18 +17,16 @@
 	// 50 ms to 100 ms.
 	nearPeriod = 100 * time.Millisecond
 	farPeriod  = 200 * time.Millisecond
-	// maxPeers is how many peers are told in one period; with more of them each
-	// is told less often, in turn.
-	maxPeers = 24
 	// maxDatagram is the largest report in bytes.
 	maxDatagram = 1400
 )
 
-// Peer is another entry.
-type Peer struct {
-	Address netip.AddrPort
-	// Near is set for peers of the own region.
-	Near bool
+// Whose says which requests a report is to count.
+type Whose struct {
+	// Own is set for those of this entry.
+	Own bool
+	// Peers reports whether those that a peer told of are meant; nil means none.
+	Peers func(peer string) bool
 }
 
 // Options sets up an Exchange.
@@ -37,22 +36,27 @@
 	// Entry and Incarnation go into the reports.
 	Entry       string
 	Incarnation uint64
-	// Peers returns the other entries.
-	Peers func() []Peer
+	// Fleet returns the other entries.
+	Fleet func() Fleet
 	// Counts returns what to report.
-	Counts func() []Count
-	// Heard takes in a peer's report.
-	Heard func(*Report)
+	Counts func(Whose) []Count
+	// Heard takes in a report. Peer names whose requests it counts.
+	Heard func(peer string, r *Report)
 }
 
 // Exchange sends the own reports and receives those of others.
+//
+// In a small fleet every entry tells each other one. In a larger one each tells the
+// hub of its failure domain; hubs tell each other the sums of their domains, and
+// each of their domain the sum of all others.
 type Exchange struct {
 	opt  Options
 	conn *net.UDPConn
 	seq  uint64
-	// next is the place among the peers at which the next period begins.
-	next int
 	buf  []byte
+
+	mu   sync.Mutex
+	hubs *hubs
 }
 
 // Listen opens the socket.
@@ -65,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{opt: opt, conn: conn}, nil
+	return &Exchange{opt: opt, conn: conn, hubs: newHubs(opt.Entry)}, nil
 }
 
 // Run sends and receives until ctx ends.
@@ -77,32 +81,73 @@
 	for {
 		select {
 		case <-tick.C:
-			x.send()
+			x.send(time.Now())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// send tells the peers that are due. A datagram that cannot be sent is as good as
-// lost.
-func (x *Exchange) send() {
+// send tells whoever is due.
+func (x *Exchange) send(now time.Time) {
 	x.seq++
-	far := x.seq%uint64(farPeriod/nearPeriod) == 0
-	peers := x.opt.Peers()
-	if len(peers) == 0 {
-		return
+	fleet := x.opt.Fleet()
+	switch {
+	case len(fleet.Peers) == 0:
+	case len(fleet.Peers) <= maxDirect:
+		x.tell(fleet.Peers, ScopeOwn, Whose{Own: true})
+	default:
+		x.sendByHubs(fleet, now)
+	}
+}
+
+// sendByHubs tells the hub of the own failure domain, or what a hub tells. An entry
+// to which others report works as their hub even if it would choose another itself:
+// they have given that one up.
+func (x *Exchange) sendByHubs(fleet Fleet, now time.Time) {
+	x.mu.Lock()
+	hub := x.hubs.pick(fleet.Hubs, now)
+	reporting := x.hubs.reporting(now)
+	remote := make([]Peer, len(fleet.Remote))
+	for i, c := range fleet.Remote {
+		remote[i] = x.hubs.speaker(c, now)
+	}
+	x.mu.Unlock()
+	isHub := hub.ID == x.opt.Entry
+	if !isHub {
+		x.tell([]Peer{hub}, ScopeOwn, Whose{Own: true})
 	}
-	r := Report{Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq, Counts: x.opt.Counts()}
-	x.buf = r.Append(x.buf[:0])
-	for i := range min(maxPeers, len(peers)) {
-		p := peers[(x.next+i)%len(peers)]
+	for _, p := range reporting {
+		x.tell([]Peer{p}, ScopeOthers, Whose{Own: true, Peers: func(peer string) bool { return peer != p.ID && peer != others }})
+	}
+	if isHub || len(reporting) > 0 {
+		from := make(map[string]bool, len(reporting))
+		for _, p := range reporting {
+			from[p.ID] = true
+		}
+		x.tell(remote, ScopeDomain, Whose{Own: isHub, Peers: func(peer string) bool { return from[peer] }})
+	}
+}
+
+// tell sends one report to the peers that are due for it. A datagram that cannot be
+// sent is as good as lost.
+func (x *Exchange) tell(peers []Peer, scope Scope, whose Whose) {
+	far := x.seq%uint64(farPeriod/nearPeriod) == 0
+	due := make([]netip.AddrPort, 0, len(peers))
+	for _, p := range peers {
 		if p.Near || far {
-			_, _ = x.conn.WriteToUDPAddrPort(x.buf, p.Address)
+			due = append(due, p.Address)
 		}
 	}
-	if len(peers) > maxPeers {
-		x.next = (x.next + maxPeers) % len(peers)
+	if len(due) == 0 {
+		return
+	}
+	whole := Report{Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq, Scope: scope, Counts: x.opt.Counts(whose)}
+	for _, r := range whole.split() {
+		x.buf = r.Append(x.buf[:0])
+		for _, addr := range due {
+			_, _ = x.conn.WriteToUDPAddrPort(x.buf, addr)
+		}
 	}
 }
 
@@ -121,6 +166,37 @@
 			klog.V(1).InfoS("report refused", "from", from, "err", err)
 			continue
 		}
-		x.opt.Heard(r)
+		x.take(r, time.Now())
+	}
+}
+
+// others names, in Heard, all entries that a hub speaks for. Reports of one hub take
+// the place of those of the hub before. They are never passed on.
+const others = "*"
+
+// take brings in a report of an entry that is known.
+func (x *Exchange) take(r *Report, now time.Time) {
+	fleet := x.opt.Fleet()
+	for _, p := range fleet.Peers {
+		if p.ID != r.Entry {
+			continue
+		}
+		x.mu.Lock()
+		x.hubs.take(p, r.Scope, now)
+		x.mu.Unlock()
+		x.opt.Heard(nameOf(r), r)
+		return
+	}
+}
+
+// nameOf names whose requests a report counts. An entry that is both a hub and a
+// peer has a name for each.
+func nameOf(r *Report) string {
+	switch r.Scope {
+	case ScopeOthers:
+		return others
+	case ScopeDomain:
+		return others + r.Entry
 	}
+	return r.Entry
 }
--- /dev/null
+++ b/internal/inflight/hub_test.go
@@ -0,0 +1,236 @@
+package inflight
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func candidates(ids ...string) []Peer {
+	out := make([]Peer, len(ids))
+	for i, id := range ids {
+		out[i] = Peer{ID: id, Domain: "d"}
+	}
+	return out
+}
+
+func TestPickGivesUpASilentHub(t *testing.T) {
+	h := newHubs("self")
+	order := candidates("a", "b", "self", "c")
+	at := func(d time.Duration) time.Time { return t0.Add(d) }
+	pick := func(d time.Duration, want string) {
+		t.Helper()
+		if got := h.pick(order, at(d)).ID; got != want {
+			t.Errorf("after %v: %s, want %s", d, got, want)
+		}
+	}
+	pick(0, "a")
+	pick(hubSilence-1, "a")
+	h.take(Peer{ID: "a"}, ScopeOthers, at(hubSilence-1))
+	pick(hubSilence+1, "a")
+	pick(2*hubSilence, "b")
+	pick(3*hubSilence, "self")
+	pick(2*hubSilence+hubAvoid, "a")
+}
+
+func TestTheFirstCandidateIsItsOwnHub(t *testing.T) {
+	h := newHubs("self")
+	for i := range 20 {
+		if got := h.pick(candidates("self", "a"), t0.Add(time.Duration(i)*time.Second)).ID; got != "self" {
+			t.Errorf("second %d: %s", i, got)
+		}
+	}
+}
+
+func TestReportersAreForgotten(t *testing.T) {
+	h := newHubs("self")
+	h.take(Peer{ID: "a"}, ScopeOwn, t0)
+	h.take(Peer{ID: "b"}, ScopeDomain, t0)
+	if got := h.reporting(t0.Add(reporterFresh - 1)); len(got) != 1 || got[0].ID != "a" {
+		t.Errorf("%v", got)
+	}
+	if got := h.reporting(t0.Add(reporterFresh)); len(got) != 0 {
+		t.Errorf("%v", got)
+	}
+}
+
+// A hub that took over is answered, though the members still name the one before.
+func TestSpeakerIsWhoSpoke(t *testing.T) {
+	h := newHubs("self")
+	first, second := Peer{ID: "a", Domain: "far"}, Peer{ID: "b", Domain: "far"}
+	if got := h.speaker(first, t0); got.ID != "a" {
+		t.Errorf("%v", got)
+	}
+	h.take(second, ScopeDomain, t0)
+	if got := h.speaker(first, t0.Add(reporterFresh-1)); got.ID != "b" {
+		t.Errorf("%v", got)
+	}
+	if got := h.speaker(first, t0.Add(reporterFresh)); got.ID != "a" {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestSplitCoversAllUpstreamsOnce(t *testing.T) {
+	r := Report{Entry: "e"}
+	for i := range 3*maxCounts + 1 {
+		r.Counts = append(r.Counts, Count{uint32((i * 7919) % 100_003), i + 1})
+	}
+	parts := r.split()
+	next, named := uint64(0), 0
+	for _, p := range parts {
+		if uint64(p.First) != next {
+			t.Errorf("part begins at %d, want %d", p.First, next)
+		}
+		for _, c := range p.Counts {
+			named++
+			if c.Upstream < p.First || c.Upstream > p.Last {
+				t.Errorf("%d lies outside of %d to %d", c.Upstream, p.First, p.Last)
+			}
+		}
+		if n := len(p.Append(nil)); n > maxDatagram {
+			t.Errorf("%d bytes", n)
+		}
+		next = uint64(p.Last) + 1
+	}
+	if next != allUpstreams+1 || named != len(r.Counts) {
+		t.Errorf("parts end at %d and name %d of %d", next, named, len(r.Counts))
+	}
+}
+
+// entry is one of a fleet over loopback, with one request at one upstream.
+type entry struct {
+	peer Peer
+	stop context.CancelFunc
+	mu   sync.Mutex
+	// heard is what each peer was said to have at the upstream.
+	heard   map[string]int
+	changed chan struct{}
+}
+
+const theUpstream = 7
+
+func (e *entry) counts(w Whose) []Count {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	if w.Own {
+		n = 1
+	}
+	for peer, at := range e.heard {
+		if w.Peers != nil && w.Peers(peer) {
+			n += at
+		}
+	}
+	return []Count{{theUpstream, n}}
+}
+
+func (e *entry) take(peer string, r *Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heard[peer] = 0
+	for _, c := range r.Counts {
+		e.heard[peer] += c.Requests
+	}
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+// others is how many requests of others the entry knows.
+func (e *entry) others() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for _, n := range e.heard {
+		sum += n
+	}
+	return sum
+}
+
+// forget drops what a peer said, as the balancer does with one that is silent.
+func (e *entry) forget(peer string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.heard, peer)
+}
+
+// startFleet starts entries in two failure domains of one region.
+func startFleet(t *testing.T, each int) []*entry {
+	var all []*entry
+	var exchanges []*Exchange
+	for _, domain := range []string{"d1", "d2"} {
+		for i := range each {
+			e := &entry{heard: make(map[string]int), changed: make(chan struct{}, 1)}
+			e.peer = Peer{ID: fmt.Sprint(domain, "-", i), Domain: domain, Near: true}
+			x, err := Listen(Options{
+				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take,
+				Fleet: func() Fleet { return fleetFor(e, all) },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			e.peer.Address = x.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
+			all = append(all, e)
+			exchanges = append(exchanges, x)
+		}
+	}
+	for i, x := range exchanges {
+		ctx, cancel := context.WithCancel(t.Context())
+		all[i].stop = cancel
+		go x.Run(ctx)
+	}
+	return all
+}
+
+func fleetFor(self *entry, all []*entry) Fleet {
+	var f Fleet
+	for _, e := range all {
+		if e != self {
+			f.Peers = append(f.Peers, e.peer)
+		}
+		switch {
+		case e.peer.Domain == self.peer.Domain:
+			f.Hubs = append(f.Hubs, e.peer)
+		case len(f.Remote) == 0:
+			f.Remote = append(f.Remote, e.peer)
+		}
+	}
+	return f
+}
+
+func (e *entry) until(t *testing.T, want int) {
+	t.Helper()
+	for e.others() != want {
+		select {
+		case <-e.changed:
+		case <-t.Context().Done():
+			t.Fatalf("%s knows of %d requests, want %d", e.peer.ID, e.others(), want)
+		}
+	}
+}
+
+// TestHubsTellEveryoneOfAll has each entry of a fleet that is too large for direct
+// reports learn of all requests, also after the hub of its failure domain has died.
+func TestHubsTellEveryoneOfAll(t *testing.T) {
+	const each = maxDirect/2 + 2
+	all := startFleet(t, each)
+	for _, e := range all {
+		e.until(t, 2*each-1)
+	}
+	dead := all[0]
+	dead.stop()
+	for _, e := range all {
+		e.forget(dead.peer.ID)
+		e.forget(others + dead.peer.ID)
+		e.forget(others)
+	}
+	for _, e := range all[1:each] {
+		e.until(t, 2*each-2)
+	}
+}
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -3,7 +3,10 @@
 package inflight
 
 import (
+	"cmp"
 	"errors"
+	"math"
+	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
 )
@@ -15,11 +18,27 @@
 	Requests int
 }
 
-// Report is what one entry tells of itself. Upstreams that it does not name have
-// none of its requests.
+// Scope says whose requests a report counts.
+type Scope uint8
+
+// The scopes.
+const (
+	// ScopeOwn counts the sender's own requests.
+	ScopeOwn Scope = iota
+	// ScopeDomain counts those of all entries that report to the sender, and its own.
+	ScopeDomain
+	// ScopeOthers counts those of all entries but the receiver.
+	ScopeOthers
+)
+
+// Report is what one entry tells. Upstreams from First to Last, by their hashes,
+// that it does not name have none of the requests.
 type Report struct {
 	// Entry is the id of the entry's instance.
 	Entry string
+	Scope Scope
+	// First and Last bound the upstreams that the report covers.
+	First, Last uint32
 	// Sequence orders the reports of one life of an entry, Incarnation its lives.
 	Incarnation uint64
 	Sequence    uint64
@@ -33,11 +52,34 @@
 	fieldSequence    = 3
 	fieldUpstreams   = 4
 	fieldRequests    = 5
+	fieldScope       = 6
+	fieldFirst       = 7
+	fieldLast        = 8
 )
 
 // maxCounts bounds the upstreams of one report, so that it fits a datagram.
 const maxCounts = 200
 
+// allUpstreams is the last of all hashes.
+const allUpstreams = math.MaxUint32
+
+// split divides a report into ones that fit a datagram. The counts are put into the
+// order of their hashes.
+func (r Report) split() []Report {
+	slices.SortFunc(r.Counts, func(a, b Count) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	counts := r.Counts
+	var out []Report
+	r.First = 0
+	for len(counts) > maxCounts {
+		r.Counts, counts = counts[:maxCounts], counts[maxCounts:]
+		r.Last = counts[0].Upstream - 1
+		out = append(out, r)
+		r.First = counts[0].Upstream
+	}
+	r.Counts, r.Last = counts, allUpstreams
+	return append(out, r)
+}
+
 var (
 	errMalformed = errors.New("inflight: malformed report")
 	errUneven    = errors.New("inflight: report with upstreams and requests of different numbers")
@@ -53,6 +95,12 @@
 	b = protowire.AppendVarint(b, r.Incarnation)
 	b = protowire.AppendTag(b, fieldSequence, protowire.VarintType)
 	b = protowire.AppendVarint(b, r.Sequence)
+	b = protowire.AppendTag(b, fieldScope, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(r.Scope))
+	b = protowire.AppendTag(b, fieldFirst, protowire.Fixed32Type)
+	b = protowire.AppendFixed32(b, r.First)
+	b = protowire.AppendTag(b, fieldLast, protowire.Fixed32Type)
+	b = protowire.AppendFixed32(b, r.Last)
 	var upstreams, requests []byte
 	for _, c := range counts {
 		upstreams = protowire.AppendFixed32(upstreams, c.Upstream)
@@ -66,8 +114,9 @@
 
 // Decode reads a report. Unknown fields are passed over.
 func Decode(b []byte) (*Report, error) {
-	r := new(Report)
+	r := &Report{Last: allUpstreams}
 	var upstreams, requests []byte
+	var scope uint64
 	for len(b) > 0 {
 		field, kind, n := protowire.ConsumeTag(b)
 		if n < 0 {
@@ -85,6 +134,12 @@
 			upstreams, n = protowire.ConsumeBytes(b)
 		case field == fieldRequests && kind == protowire.BytesType:
 			requests, n = protowire.ConsumeBytes(b)
+		case field == fieldScope && kind == protowire.VarintType:
+			scope, n = protowire.ConsumeVarint(b)
+		case field == fieldFirst && kind == protowire.Fixed32Type:
+			r.First, n = protowire.ConsumeFixed32(b)
+		case field == fieldLast && kind == protowire.Fixed32Type:
+			r.Last, n = protowire.ConsumeFixed32(b)
 		default:
 			n = protowire.ConsumeFieldValue(field, kind, b)
 		}
@@ -93,6 +148,10 @@
 		}
 		b = b[n:]
 	}
+	if scope > uint64(ScopeOthers) || r.First > r.Last {
+		return nil, errMalformed
+	}
+	r.Scope = Scope(scope)
 	return r, r.decodeCounts(upstreams, requests)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,13 +9,13 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/entry"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/inflight"
@@ -44,6 +44,7 @@
 	mu      sync.Mutex
 	view    *view.View
 	members atomic.Pointer[[]model.Member]
+	fleet   fleetCache
 	synced  atomic.Bool
 	// stopping is set by the signal to stop.
 	stopping atomic.Bool
@@ -198,39 +199,26 @@
 		Address:     self.Agent,
 		Entry:       self.ID,
 		Incarnation: self.Incarnation,
-		Peers:       func() []inflight.Peer { return peersOf(self, *n.members.Load()) },
+		Fleet:       func() inflight.Fleet { return n.fleet.of(self, n.members.Load()) },
 		Counts:      n.counts,
 		Heard:       n.heard,
 	}
 }
 
-// peersOf returns the other members that can be told.
-func peersOf(self model.Member, members []model.Member) []inflight.Peer {
-	var out []inflight.Peer
-	for _, m := range members {
-		addr, err := netip.ParseAddrPort(m.Agent)
-		if m.ID == self.ID || err != nil {
-			continue
-		}
-		out = append(out, inflight.Peer{Address: addr, Near: m.Region == self.Region})
-	}
-	return out
-}
-
-func (n *Node) counts() []inflight.Count {
+func (n *Node) counts(whose inflight.Whose) []inflight.Count {
 	var out []inflight.Count
-	n.Entry.Carrier.InFlightAt(func(upstream uint32, requests int) {
+	n.Entry.Carrier.InFlightAt(balance.Counted(whose), func(upstream uint32, requests int) {
 		out = append(out, inflight.Count{Upstream: upstream, Requests: requests})
 	})
 	return out
 }
 
-func (n *Node) heard(r *inflight.Report) {
+func (n *Node) heard(peer string, r *inflight.Report) {
 	at := make(map[uint32]int, len(r.Counts))
 	for _, c := range r.Counts {
 		at[c.Upstream] = c.Requests
 	}
-	n.Entry.Carrier.Heard(r.Entry, at)
+	n.Entry.Carrier.Heard(peer, r.First, r.Last, at)
 }
 
 // Self returns the member that a node announces.
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -45,20 +45,27 @@
 	return append(append([]Source{sourceOf(own)}, remote...), Service)
 }
 
-// reader returns the member that follows the service for a failure domain. It sends
-// everything to all others, so that it is one of those with the fastest link.
-func reader(domain string, members []model.Member) model.Member {
-	fastest := slices.MaxFunc(members, func(a, b model.Member) int { return cmp.Compare(a.LinkMbps, b.LinkMbps) })
-	var ids []string
-	for _, m := range members {
-		if m.LinkMbps == fastest.LinkMbps {
-			ids = append(ids, m.ID)
-		}
+// Order returns the members of a failure domain in the order in which they do the
+// work of the domain: one that reads or collects for the others sends everything to
+// all of them, so that those with the fastest links come first.
+func Order(domain string, members []model.Member) []model.Member {
+	byID := make(map[string]model.Member, len(members))
+	ids := make([]string, len(members))
+	for i, m := range members {
+		byID[m.ID] = m
+		ids[i] = m.ID
+	}
+	out := make([]model.Member, len(members))
+	for i, id := range fanout.Order(domain, ids) {
+		out[i] = byID[id]
 	}
-	first := fanout.Order(domain, ids)[0]
-	return members[slices.IndexFunc(members, func(m model.Member) bool { return m.ID == first })]
+	slices.SortStableFunc(out, func(a, b model.Member) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+	return out
 }
 
+// reader returns the member that follows the service for a failure domain.
+func reader(domain string, members []model.Member) model.Member { return Order(domain, members)[0] }
+
 // remoteReaders returns some readers of other failure domains, those of the own
 // region first. Entries spread over them by their ids.
 func remoteReaders(self model.Member, byDomain map[string][]model.Member) []Source {
