Keep photographs in the failure domain also where a region has three

Change: classes with a mean of 20 KB and more have a replica in each failure domain that asks. Test: TestHugeRequestsStayInEachDomain. Nothing changes with two domains a region.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -22,6 +22,10 @@
 	// object in each failure domain. Below, one more warm replica costs more than
 	// the bytes that stay.
 	largeBytes = 3000
+	// hugeBytes is the mean size from which on each failure domain has a replica,
+	// however many there are. Measured with three domains: for photographs the bytes
+	// that stay are worth more than the colder work, for 5 KB they are not.
+	hugeBytes = 20_000
 )
 
 // ObjectRequest asks for an upstream for a request that concerns an object.
@@ -74,19 +78,36 @@
 
 // rank returns the upstreams that share an object, at most replicas, by place. A
 // request that may go anywhere gets all usable upstreams.
-//
-// If the requests of the class are large, the upstreams are the first in each
-// failure domain of the region that the object belongs to, so that entries of each
-// domain can have one at hand. Where there are fewer domains the next ones make up
-// for it.
 func (g *Group) rank(now time.Time, req ObjectRequest) []candidate {
 	usable := g.byPlace(now, req)
-	if req.Spread {
+	t := g.times(req.Class)
+	switch {
+	case req.Spread || len(usable) <= replicas:
 		return usable
+	case t.huge():
+		return g.withOwnDomain(usable)
+	case t.large():
+		return perDomain(usable)
 	}
-	if !g.times(req.Class).large() {
-		return usable[:min(replicas, len(usable))]
+	return usable[:replicas]
+}
+
+// withOwnDomain returns the first upstream, and the first of the own failure domain
+// if there is one in the region that the object belongs to. So an object has as many
+// replicas as there are failure domains that ask for it.
+func (g *Group) withOwnDomain(usable []candidate) []candidate {
+	first := usable[0]
+	own := slices.IndexFunc(usable, func(c candidate) bool { return c.m.Domain == g.domain && c.m.Region == first.m.Region })
+	if own <= 0 {
+		return perDomain(usable)
 	}
+	return []candidate{first, usable[own]}
+}
+
+// perDomain returns the first upstreams of different failure domains of the region
+// that the object belongs to, so that entries of each can have one at hand. Where
+// there are fewer domains the next upstreams make up for it.
+func perDomain(usable []candidate) []candidate {
 	shared := make([]candidate, 0, replicas)
 	rest := make([]candidate, 0, replicas)
 	for _, c := range usable {
--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -231,6 +231,33 @@
 	}
 }
 
+// TestHugeRequestsStayInEachDomain has an entry in a third failure domain of a region.
+// Photographs get a replica there, mere large requests go to the two that there are.
+func TestHugeRequestsStayInEachDomain(t *testing.T) {
+	for _, tt := range []struct {
+		bytes int64
+		stay  bool
+	}{{hugeBytes, true}, {largeBytes, false}} {
+		s, entries := site(2, 8)
+		for i := range 4 {
+			s.Upstreams = append(s.Upstreams, model.Upstream{ID: fmt.Sprint("muscat-c-", i), Service: s.Name, Region: "muscat", Domain: "muscat-c", Slots: 8})
+		}
+		third := model.Member{ID: "entry-muscat-c", Region: "muscat", Domain: "muscat-c", State: membership.Alive}
+		g := groupAt(s, append(entries, third), third)
+		crossed := 0
+		for o := range 200 {
+			c := pickObject(t, g, t0, o)
+			g.Done(t0, c, Report{Result: OK, Load: 0, Waiting: 0, Bytes: tt.bytes})
+			if o > 0 && c.Domain != third.Domain {
+				crossed++
+			}
+		}
+		if stay := crossed == 0; stay != tt.stay {
+			t.Errorf("%d bytes: %d of 200 crossed", tt.bytes, crossed)
+		}
+	}
+}
+
 // TestColdBound has all entries send to a cold upstream as fast as they may. In no
 // second may it get more than its bound.
 func TestColdBound(t *testing.T) {
--- a/internal/balance/warmth.go
+++ b/internal/balance/warmth.go
@@ -31,6 +31,10 @@
 // failure domain.
 func (t *times) large() bool { return t.bytes >= largeBytes }
 
+// huge reports whether the requests are so large that each failure domain should
+// have a replica.
+func (t *times) huge() bool { return t.bytes >= hugeBytes }
+
 func (g *Group) times(class string) *times {
 	t := g.byClass[class]
 	if t == nil {
