Send nothing that may run only once on a connection that may be forgotten

Change: a connection that breaks within 0.25 s of a request after a rest teaches the pool that rests of half that length are the longest to trust, for 8 s; nodes tell each other in their reports, so that one lost request teaches all. Requests that may repeat still use such connections. Tests: TestForgottenConnections, TestRests.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,7 +53,11 @@
 		return nil, verdict.New(verdict.NotRun, reasonBodyUsed, nil)
 	}
 	var watch sendWatch
-	out := c.request(watch.context(ctx), r, cl, to, body)
+	sending := watch.context(ctx)
+	if !cl.Safe {
+		sending = withOnce(sending)
+	}
+	out := c.request(sending, r, cl, to, body)
 	resp, err := c.transport.RoundTrip(out)
 	if err != nil {
 		return nil, sendError(ctx, cl, &watch, err)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -44,7 +44,9 @@
 	requests  int
 	keep      time.Duration
 	keepUntil time.Time
-	closed    atomic.Bool
+	// restedSince is when the connection was last put back; zero if it never was.
+	restedSince time.Time
+	closed      atomic.Bool
 }
 
 func newUpstreamConn(p *Pool, addr string, conn *countedConn, raw syscall.Conn) *upstreamConn {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -59,6 +59,8 @@
 	mu    sync.Mutex
 	idle  map[string][]*upstreamConn
 	swept time.Time
+
+	rests rests
 }
 
 // NewPool returns a Pool without connections.
@@ -96,9 +98,13 @@
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c.countedConn, Reused: c.requests > 0})
 	}
+	sent := p.opt.Now()
 	resp, err := c.exchange(req)
 	if err != nil {
 		c.close()
+		if now := p.opt.Now(); !c.restedSince.IsZero() && ctx.Err() == nil && now.Sub(sent) < promptly {
+			p.rests.broke(sent.Sub(c.restedSince), now)
+		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -110,7 +116,7 @@
 // take returns an idle connection that is still good, or makes a new one.
 func (p *Pool) take(ctx context.Context, addr string) (*upstreamConn, error) {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, p.trusted(ctx))
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -121,12 +127,23 @@
 	}
 }
 
-// pop returns the idle connection that was used last.
-func (p *Pool) pop(addr string) *upstreamConn {
+// trusted returns since when a connection may have rested at most to be used for a
+// request; the zero time if for any length.
+func (p *Pool) trusted(ctx context.Context) time.Time {
+	now := p.opt.Now()
+	d := p.rests.current(now)
+	if d.Until.IsZero() || !isOnce(ctx) {
+		return time.Time{}
+	}
+	return now.Add(-d.Rest)
+}
+
+// pop returns the idle connection that was used last, if it was after a time.
+func (p *Pool) pop(addr string, after time.Time) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
+	if len(list) == 0 || list[len(list)-1].restedSince.Before(after) {
 		return nil
 	}
 	c := list[len(list)-1]
@@ -168,7 +185,7 @@
 // put keeps a connection for the next request.
 func (p *Pool) put(c *upstreamConn) {
 	now := p.opt.Now()
-	c.keepUntil = now.Add(c.keep)
+	c.keepUntil, c.restedSince = now.Add(c.keep), now
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
--- /dev/null
+++ b/internal/forward/rest.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// doubtFor is how long it is believed that upstreams forget connections which
+	// rested. The faults that were seen last some six seconds.
+	doubtFor = 8 * time.Second
+	// doubtShare is the part of a rest that broke up to which rests are trusted.
+	doubtShare = 0.5
+	// promptly is within what time of the request an upstream resets a connection that
+	// it has forgotten: the way there and back. One that breaks later was lost with
+	// the work.
+	promptly = 250 * time.Millisecond
+)
+
+// Doubt says that connections which rested for longer than a time are not to be
+// trusted with a request that may run only once: the upstream may have forgotten
+// them silently, and after a reset nobody can tell whether the request ran.
+type Doubt struct {
+	// Rest is the longest rest that is trusted, Until when the doubt ends.
+	Rest  time.Duration
+	Until time.Time
+}
+
+// rests holds what is known of how long connections may rest. It is safe for
+// concurrent use.
+type rests struct {
+	mu    sync.Mutex
+	doubt Doubt
+}
+
+// broke records that a connection broke that had rested for a time.
+func (r *rests) broke(rest time.Duration, now time.Time) {
+	r.heard(Doubt{time.Duration(doubtShare * float64(rest)), now.Add(doubtFor)}, now)
+}
+
+// heard takes in a doubt. Of two that hold the shorter rest counts, for as long as the
+// later one holds.
+func (r *rests) heard(d Doubt, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !now.Before(d.Until):
+	case !now.Before(r.doubt.Until):
+		r.doubt = d
+	default:
+		r.doubt.Rest = min(r.doubt.Rest, d.Rest)
+		if d.Until.After(r.doubt.Until) {
+			r.doubt.Until = d.Until
+		}
+	}
+}
+
+// current returns the doubt that holds; zero if none does.
+func (r *rests) current(now time.Time) Doubt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.Before(r.doubt.Until) {
+		return Doubt{}
+	}
+	return r.doubt
+}
+
+// onceKey marks the context of a request that may run only once.
+type onceKey struct{}
+
+func withOnce(ctx context.Context) context.Context { return context.WithValue(ctx, onceKey{}, true) }
+
+func isOnce(ctx context.Context) bool { return ctx.Value(onceKey{}) != nil }
--- /dev/null
+++ b/internal/forward/rest_test.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+)
+
+func TestRests(t *testing.T) {
+	t0 := time.Unix(1_800_000_000, 0)
+	var r rests
+	expect := func(after, rest, until time.Duration) {
+		t.Helper()
+		d := r.current(t0.Add(after))
+		if d.Rest != rest || !d.Until.IsZero() && d.Until.Sub(t0) != until {
+			t.Errorf("after %v: %v until %v", after, d.Rest, d.Until.Sub(t0))
+		}
+	}
+	expect(0, 0, 0)
+	r.broke(400*time.Millisecond, t0)
+	expect(0, 200*time.Millisecond, doubtFor)
+	r.broke(2*time.Second, t0.Add(time.Second))
+	expect(time.Second, 200*time.Millisecond, time.Second+doubtFor)
+	r.heard(Doubt{100 * time.Millisecond, t0.Add(2 * time.Second)}, t0.Add(time.Second))
+	expect(time.Second, 100*time.Millisecond, time.Second+doubtFor)
+	r.heard(Doubt{time.Millisecond, t0}, t0.Add(time.Second))
+	expect(2*time.Second, 100*time.Millisecond, time.Second+doubtFor)
+	expect(time.Second+doubtFor, 0, 0)
+}
+
+// forgetful is an upstream that forgets its first connection after one answer: it
+// resets whatever comes on it next.
+func forgetful(n int, c net.Conn, r *bufio.Reader) {
+	for answered := 0; ; answered++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if n == 0 && answered > 0 {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s: %s\r\n\r\nok", idHeader, req.Header.Get(idHeader))
+	}
+}
+
+// TestForgottenConnections has an upstream forget a connection that rested. From
+// then on no request that may run only once goes on a connection that rested for
+// long. Before, a fifth of all photographs and redemptions were lost while such a
+// fault lasted.
+func TestForgottenConnections(t *testing.T) {
+	s := newScript(t, forgetful)
+	now := time.Unix(1_800_000_000, 0)
+	p := newTestPool()
+	p.opt.Now = func() time.Time { return now }
+	n := 0
+	send := func(once bool) error {
+		n++
+		ctx := t.Context()
+		if once {
+			ctx = withOnce(ctx)
+		}
+		return s.get(ctx, p, fmt.Sprint(n))
+	}
+	conns := func(want int) {
+		t.Helper()
+		if got := len(s.conns); got != want {
+			t.Errorf("%d connections after request %d, want %d", got, n, want)
+		}
+	}
+	if err := send(true); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(400 * time.Millisecond)
+	if err := send(true); err == nil {
+		t.Fatal("a request on a forgotten connection was answered")
+	}
+	conns(1)
+	if err := send(true); err != nil {
+		t.Fatal(err)
+	}
+	conns(2)
+	now = now.Add(300 * time.Millisecond)
+	if err := send(false); err != nil {
+		t.Fatal(err)
+	}
+	conns(2)
+	now = now.Add(300 * time.Millisecond)
+	if err := send(true); err != nil {
+		t.Fatal(err)
+	}
+	conns(3)
+	now = now.Add(100 * time.Millisecond)
+	if err := send(true); err != nil {
+		t.Fatal(err)
+	}
+	conns(3)
+}
+
+func (s *script) get(ctx context.Context, p *Pool, id string) error {
+	req := &http.Request{
+		Method: http.MethodGet, Host: "x", Header: http.Header{idHeader: {id}},
+		URL: &url.URL{Scheme: "http", Host: s.lis.Addr().String(), Opaque: "/"},
+	}
+	resp, err := p.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	discard(resp)
+	return nil
+}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -51,6 +51,21 @@
 	}
 }
 
+// Doubt returns what this entry knows of upstreams that forget connections.
+func (c *Carrier) Doubt() Doubt {
+	if p, ok := c.transport.(*Pool); ok {
+		return p.rests.current(c.now())
+	}
+	return Doubt{}
+}
+
+// HeardDoubt takes in what a peer knows of upstreams that forget connections.
+func (c *Carrier) HeardDoubt(d Doubt) {
+	if p, ok := c.transport.(*Pool); ok {
+		p.rests.heard(d, c.now())
+	}
+}
+
 func (c *Carrier) allLanes() []*lane {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -40,6 +40,8 @@
 	Fleet func() Fleet
 	// Counts returns what to report.
 	Counts func(Whose) []Count
+	// Doubt returns the Doubt and DoubtLeft of reports.
+	Doubt func() (rest, left time.Duration)
 	// Heard takes in a report. Peer names whose requests it counts.
 	Heard func(peer string, r *Report)
 }
@@ -143,6 +145,7 @@
 		return
 	}
 	whole := Report{Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq, Scope: scope, Counts: x.opt.Counts(whose)}
+	whole.Doubt, whole.DoubtLeft = x.opt.Doubt()
 	for _, r := range whole.split() {
 		x.buf = r.Append(x.buf[:0])
 		for _, addr := range due {
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -169,7 +169,7 @@
 			e := &entry{heard: make(map[string]int), changed: make(chan struct{}, 1)}
 			e.peer = Peer{ID: fmt.Sprint(domain, "-", i), Domain: domain, Near: true}
 			x, err := Listen(Options{
-				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take,
+				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt,
 				Fleet: func() Fleet { return fleetFor(e, all) },
 			})
 			if err != nil {
@@ -188,6 +188,8 @@
 	return all
 }
 
+func noDoubt() (rest, left time.Duration) { return 0, 0 }
+
 func fleetFor(self *entry, all []*entry) Fleet {
 	var f Fleet
 	for _, e := range all {
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 )
@@ -42,7 +43,11 @@
 	// Sequence orders the reports of one life of an entry, Incarnation its lives.
 	Incarnation uint64
 	Sequence    uint64
-	Counts      []Count
+	// Doubt is the longest rest after which connections to upstreams are trusted, and
+	// DoubtLeft for how long that holds; 0 if there is no doubt. Both are sent in
+	// whole milliseconds.
+	Doubt, DoubtLeft time.Duration
+	Counts           []Count
 }
 
 // Fields of the encoding, a protobuf message.
@@ -55,6 +60,8 @@
 	fieldScope       = 6
 	fieldFirst       = 7
 	fieldLast        = 8
+	fieldDoubt       = 9
+	fieldDoubtLeft   = 10
 )
 
 // maxCounts bounds the upstreams of one report, so that it fits a datagram.
@@ -97,6 +104,12 @@
 	b = protowire.AppendVarint(b, r.Sequence)
 	b = protowire.AppendTag(b, fieldScope, protowire.VarintType)
 	b = protowire.AppendVarint(b, uint64(r.Scope))
+	if r.DoubtLeft > 0 {
+		b = protowire.AppendTag(b, fieldDoubt, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(r.Doubt.Milliseconds()))
+		b = protowire.AppendTag(b, fieldDoubtLeft, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(r.DoubtLeft.Milliseconds()))
+	}
 	b = protowire.AppendTag(b, fieldFirst, protowire.Fixed32Type)
 	b = protowire.AppendFixed32(b, r.First)
 	b = protowire.AppendTag(b, fieldLast, protowire.Fixed32Type)
@@ -116,7 +129,7 @@
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
 	var upstreams, requests []byte
-	var scope uint64
+	var scope, doubt, doubtLeft uint64
 	for len(b) > 0 {
 		field, kind, n := protowire.ConsumeTag(b)
 		if n < 0 {
@@ -136,6 +149,10 @@
 			requests, n = protowire.ConsumeBytes(b)
 		case field == fieldScope && kind == protowire.VarintType:
 			scope, n = protowire.ConsumeVarint(b)
+		case field == fieldDoubt && kind == protowire.VarintType:
+			doubt, n = protowire.ConsumeVarint(b)
+		case field == fieldDoubtLeft && kind == protowire.VarintType:
+			doubtLeft, n = protowire.ConsumeVarint(b)
 		case field == fieldFirst && kind == protowire.Fixed32Type:
 			r.First, n = protowire.ConsumeFixed32(b)
 		case field == fieldLast && kind == protowire.Fixed32Type:
@@ -148,13 +165,17 @@
 		}
 		b = b[n:]
 	}
-	if scope > uint64(ScopeOthers) || r.First > r.Last {
+	if scope > uint64(ScopeOthers) || r.First > r.Last || doubt > maxDoubt || doubtLeft > maxDoubt {
 		return nil, errMalformed
 	}
 	r.Scope = Scope(scope)
+	r.Doubt, r.DoubtLeft = time.Duration(doubt)*time.Millisecond, time.Duration(doubtLeft)*time.Millisecond
 	return r, r.decodeCounts(upstreams, requests)
 }
 
+// maxDoubt bounds the times of a doubt in milliseconds.
+const maxDoubt = 60_000
+
 // maxRequests bounds what one entry can have under way at one upstream.
 const maxRequests = 1 << 16
 
--- a/internal/inflight/report_test.go
+++ b/internal/inflight/report_test.go
@@ -3,10 +3,11 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 )
 
 func TestReportRoundTrip(t *testing.T) {
-	want := &Report{Entry: "edge-1", Incarnation: 7, Sequence: 9, Counts: []Count{{0xfedcba98, 3}, {1, 400}}}
+	want := &Report{Entry: "edge-1", Scope: ScopeOthers, First: 1, Last: 1 << 31, Incarnation: 7, Sequence: 9, Doubt: 150 * time.Millisecond, DoubtLeft: 4 * time.Second, Counts: []Count{{0xfedcba98, 3}, {1, 400}}}
 	got, err := Decode(want.Append(nil))
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v", got, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,6 +201,7 @@
 		Incarnation: self.Incarnation,
 		Fleet:       func() inflight.Fleet { return n.fleet.of(self, n.members.Load()) },
 		Counts:      n.counts,
+		Doubt:       n.doubt,
 		Heard:       n.heard,
 	}
 }
@@ -219,6 +220,19 @@
 		at[c.Upstream] = c.Requests
 	}
 	n.Entry.Carrier.Heard(peer, r.First, r.Last, at)
+	if r.DoubtLeft > 0 {
+		n.Entry.Carrier.HeardDoubt(forward.Doubt{Rest: r.Doubt, Until: n.now().Add(r.DoubtLeft)})
+	}
+}
+
+// doubt returns what the node knows of upstreams that forget connections, and for how
+// long that holds.
+func (n *Node) doubt() (rest, left time.Duration) {
+	d := n.Entry.Carrier.Doubt()
+	if d.Until.IsZero() {
+		return 0, 0
+	}
+	return d.Rest, d.Until.Sub(n.now())
 }
 
 // Self returns the member that a node announces.
