Pass over upstreams at which requests of all entries fail

Change: reports tell the failures and outcomes of the last seconds beside the requests under way; an upstream with three failures that are a fifth of its outcomes, summed over all entries, is passed over for 3 s, unless most are. Failed answers no longer teach how long work takes. Tests: TestPartialFailuresArePassedOver, TestRareFailuresAreBorne.

--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -202,12 +202,12 @@
 		object++
 		first = serve(t, g, t0, object, 300*time.Millisecond)
 	}
-	full := map[uint32]int{HashID(first.ID): 6}
-	g.Heard(t0, "peer", 0, math.MaxUint32, full)
+	full := map[uint32]Load{HashID(first.ID): {Requests: 6}}
+	g.Heard(t0, PeerLoad{Peer: "peer", Last: math.MaxUint32, At: full})
 	if c := serve(t, g, t0, object, 0); c.ID == first.ID {
 		t.Error("sent to an upstream that a peer has filled")
 	}
-	g.Heard(t0.Add(2*peerFresh), "other", 0, math.MaxUint32, nil)
+	g.Heard(t0.Add(2*peerFresh), PeerLoad{Peer: "other", Last: math.MaxUint32})
 	if c := serve(t, g, t0.Add(2*peerFresh), object, 0); c.ID != first.ID {
 		t.Error("a silent peer's requests still count")
 	}
@@ -258,6 +258,70 @@
 	}
 }
 
+// TestPartialFailuresArePassedOver has an upstream fail half of its requests, of which
+// each of ten entries sends one. None of them could tell alone.
+func TestPartialFailuresArePassedOver(t *testing.T) {
+	s, entries := site(3, 8)
+	groups := make([]*Group, 10)
+	for i := range groups {
+		groups[i] = groupAt(s, entries, entries[0])
+	}
+	sick := serve(t, groups[0], t0, 1, 0).ID
+	for i, g := range groups {
+		c := pickObject(t, g, t0, 1)
+		g.Done(t0, c, Report{Result: OK, Errored: i%2 == 0, Load: 0, Waiting: 0})
+	}
+	if c := serve(t, groups[0], t0, 1, 0); c.ID != sick {
+		t.Fatalf("one failure of one entry moves an object from %s to %s", sick, c.ID)
+	}
+	tellAll(groups, t0)
+	for i, g := range groups {
+		if c := serve(t, g, t0.Add(outlierFor-1), 1, 0); c.ID == sick {
+			t.Errorf("entry %d still sends to an upstream that fails half of all requests", i)
+		}
+		if c := pickObject(t, g, t0.Add(outlierFor).Add(warmFor), 1); c.ID != sick {
+			t.Errorf("entry %d does not try again", i)
+		}
+	}
+}
+
+// TestRareFailuresAreBorne has an upstream fail some of many requests.
+func TestRareFailuresAreBorne(t *testing.T) {
+	s, entries := site(3, 8)
+	g := groupAt(s, entries, entries[0])
+	sick := pickObject(t, g, t0, 1).ID
+	for i := range 100 {
+		c := pickObject(t, g, t0, 1)
+		if c.ID != sick {
+			t.Fatalf("moved to %s after %d requests", c.ID, i)
+		}
+		g.Done(t0, c, Report{Result: OK, Errored: i%10 == 9, Load: 0, Waiting: 0})
+	}
+}
+
+// TestAllFailingIsNoReasonToRefuse has every upstream fail.
+func TestAllFailingIsNoReasonToRefuse(t *testing.T) {
+	s, entries := site(2, 8)
+	g := groupAt(s, entries, entries[0])
+	for o := range 300 {
+		c := pickObject(t, g, t0, o)
+		g.Done(t0, c, Report{Result: OK, Errored: true, Load: 0, Waiting: 0})
+	}
+}
+
+// tellAll has every entry hear of what each other one knows itself.
+func tellAll(groups []*Group, now time.Time) {
+	for i, from := range groups {
+		p := PeerLoad{Peer: fmt.Sprint("peer-", i), Last: math.MaxUint32, At: make(map[uint32]Load)}
+		from.LoadAt(now, Counted{Own: true}, func(upstream uint32, l Load) { p.At[upstream] = l })
+		for j, to := range groups {
+			if i != j {
+				to.Heard(now, p)
+			}
+		}
+	}
+}
+
 // TestColdBound has all entries send to a cold upstream as fast as they may. In no
 // second may it get more than its bound.
 func TestColdBound(t *testing.T) {
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -88,6 +88,11 @@
 	// byPeer is how many requests each peer has at the upstream, atPeers their sum.
 	byPeer  map[string]int
 	atPeers int
+	// outcomes are those of the own requests, peerOutcomes those that peers told of.
+	outcomes     recent
+	peerOutcomes map[string]Outcomes
+	// outlierUntil is until when the upstream is passed over for its failures.
+	outlierUntil time.Time
 	// coldTokens are the requests that may be sent now while the upstream is
 	// cold, as of coldAt.
 	coldTokens float64
@@ -334,6 +339,8 @@
 	Waiting int
 	// Draining is set if the upstream said that it drains.
 	Draining bool
+	// Errored is set if the answer is the upstream's own failure.
+	Errored bool
 	// Bytes is the size of the bodies of the request and the answer, 0 if unknown.
 	Bytes int64
 	// Connect is how long the connection took to be made; 0 if it was there.
@@ -360,6 +367,9 @@
 	if best := g.roundTrip[c.Region]; r.Connect > 0 && (best == 0 || r.Connect < best) {
 		g.roundTrip[c.Region] = r.Connect
 	}
+	if r.Result != Shed && r.Result != Abandoned {
+		m.countOutcome(now, r.Errored || r.Result != OK)
+	}
 	g.learn(m, now, c, r)
 	g.judge(m, now, now.Sub(c.Picked), r.Result)
 	g.updateMean(now)
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -17,14 +17,22 @@
 	Peers func(peer string) bool
 }
 
-// InFlightAt calls visit with the requests at each upstream that has any of those
-// that are asked for.
-func (g *Group) InFlightAt(whose Counted, visit func(upstream uint32, requests int)) {
+// Load is what is known of the use of an upstream.
+type Load struct {
+	// Requests are under way.
+	Requests int
+	Outcomes
+}
+
+// LoadAt calls visit with what the entries that are asked for have at each upstream
+// at which they have requests or had failures.
+func (g *Group) LoadAt(now time.Time, whose Counted, visit func(upstream uint32, l Load)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.all {
-		if n := m.count(whose); n > 0 {
-			visit(uint32(m.hash), n)
+		l := Load{Requests: m.count(whose), Outcomes: m.countedOutcomes(whose, now)}
+		if l.Requests > 0 || l.Failed > 0 {
+			visit(uint32(m.hash), l)
 		}
 	}
 }
@@ -45,20 +53,29 @@
 	return n
 }
 
-// Heard takes in how many requests a peer has at the upstreams whose hashes lie from
-// first to last; at one that is not named it has none.
-func (g *Group) Heard(now time.Time, peer string, first, last uint32, at map[uint32]int) {
+// PeerLoad is what a peer told of upstreams whose hashes lie from First to Last; at
+// one that is not named it has nothing.
+type PeerLoad struct {
+	Peer        string
+	First, Last uint32
+	At          map[uint32]Load
+}
+
+// Heard takes in what a peer told.
+func (g *Group) Heard(now time.Time, p PeerLoad) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.heard[peer] = now
+	g.heard[p.Peer] = now
 	for _, m := range g.all {
-		if h := uint32(m.hash); h < first || h > last {
+		h := uint32(m.hash)
+		if h < p.First || h > p.Last {
 			continue
 		}
-		n := at[uint32(m.hash)]
-		if was := m.byPeer[peer]; was != n {
-			m.setPeer(peer, n)
+		l := p.At[h]
+		if was := m.byPeer[p.Peer]; was != l.Requests {
+			m.setPeer(p.Peer, l.Requests)
 		}
+		m.hearOutcomes(now, p.Peer, l.Outcomes)
 	}
 	g.forgetSilent(now)
 }
@@ -72,6 +89,7 @@
 		delete(g.heard, peer)
 		for _, m := range g.all {
 			m.setPeer(peer, 0)
+			delete(m.peerOutcomes, peer)
 		}
 	}
 }
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -24,8 +24,8 @@
 	place float64
 }
 
-// byPlace returns the usable upstreams in the object's order. Silent ones are left
-// out, unless most are: then it is more likely that this entry is cut off.
+// byPlace returns the usable upstreams in the object's order. Silent and failing ones
+// are left out, unless most are: then it is more likely that this entry is cut off.
 func (g *Group) byPlace(now time.Time, req ObjectRequest) []candidate {
 	all := make([]candidate, 0, len(g.all))
 	answering := make([]candidate, 0, len(g.all))
@@ -35,7 +35,7 @@
 		}
 		c := candidate{m, place(req.Object, m)}
 		all = append(all, c)
-		if !g.silent(m, now) {
+		if !g.silent(m, now) && !m.outlying(now) {
 			answering = append(answering, c)
 		}
 	}
--- a/internal/balance/warmth.go
+++ b/internal/balance/warmth.go
@@ -70,7 +70,7 @@
 
 // learn takes in how long an answer took.
 func (g *Group) learn(m *member, now time.Time, c Choice, r Report) {
-	if c.class == "" || r.Result != OK {
+	if c.class == "" || r.Result != OK || r.Errored {
 		return
 	}
 	m.remember(c.object, now)
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -128,6 +128,7 @@
 // deliver sends the answer and frees the slot when it has gone out whole.
 func (c *Carrier) deliver(w http.ResponseWriter, l *lane, cl *call, choice balance.Choice, a *answer, out *Outcome) {
 	report := balance.Report{Result: balance.OK, Load: a.told.Load, Waiting: a.told.Waiting, Draining: a.told.Draining, Connect: a.connect}
+	report.Errored = a.resp.StatusCode >= http.StatusInternalServerError
 	report.Bytes = max(0, cl.body.length) + max(int64(len(a.whole)), a.resp.ContentLength)
 	if a.read {
 		c.done(l, choice, report)
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -34,20 +34,19 @@
 	return out
 }
 
-// InFlightAt calls visit with the requests at each upstream that has any of those
-// that are asked for.
-func (c *Carrier) InFlightAt(whose balance.Counted, visit func(upstream uint32, requests int)) {
+// LoadAt calls visit with what the entries that are asked for have at each upstream.
+func (c *Carrier) LoadAt(whose balance.Counted, visit func(upstream uint32, l balance.Load)) {
+	now := c.now()
 	for _, l := range c.allLanes() {
-		l.group.InFlightAt(whose, visit)
+		l.group.LoadAt(now, whose, visit)
 	}
 }
 
-// Heard takes in how many requests a peer has at the upstreams whose hashes lie from
-// first to last.
-func (c *Carrier) Heard(peer string, first, last uint32, at map[uint32]int) {
+// Heard takes in what a peer told.
+func (c *Carrier) Heard(p balance.PeerLoad) {
 	now := c.now()
 	for _, l := range c.allLanes() {
-		l.group.Heard(now, peer, first, last, at)
+		l.group.Heard(now, p)
 	}
 }
 
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -78,7 +78,7 @@
 func TestSplitCoversAllUpstreamsOnce(t *testing.T) {
 	r := Report{Entry: "e"}
 	for i := range 3*maxCounts + 1 {
-		r.Counts = append(r.Counts, Count{uint32((i * 7919) % 100_003), i + 1})
+		r.Counts = append(r.Counts, Count{Upstream: uint32((i * 7919) % 100_003), Requests: i + 1, Failed: 1, Answered: 9})
 	}
 	parts := r.split()
 	next, named := uint64(0), 0
@@ -126,7 +126,7 @@
 			n += at
 		}
 	}
-	return []Count{{theUpstream, n}}
+	return []Count{{Upstream: theUpstream, Requests: n}}
 }
 
 func (e *entry) take(peer string, r *Report) {
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -12,11 +12,14 @@
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// Count is the number of requests that an entry has under way at an upstream.
+// Count is what entries have at an upstream.
 type Count struct {
 	// Upstream is the hash of the upstream's id; see balance.HashID.
 	Upstream uint32
+	// Requests are under way.
 	Requests int
+	// Failed of the Answered recent requests failed. Answered is told only if any did.
+	Failed, Answered float64
 }
 
 // Scope says whose requests a report counts.
@@ -62,10 +65,18 @@
 	fieldLast        = 8
 	fieldDoubt       = 9
 	fieldDoubtLeft   = 10
+	fieldFailures    = 11
 )
 
-// maxCounts bounds the upstreams of one report, so that it fits a datagram.
-const maxCounts = 200
+const (
+	// maxCounts bounds the upstreams of one report, and maxFailures those of them with
+	// failures, so that it fits a datagram.
+	maxCounts   = 160
+	maxFailures = 30
+	// outcomeUnit is the part of an outcome that is told: outcomes count for less as
+	// they age.
+	outcomeUnit = 0.1
+)
 
 // allUpstreams is the last of all hashes.
 const allUpstreams = math.MaxUint32
@@ -122,13 +133,36 @@
 	b = protowire.AppendTag(b, fieldUpstreams, protowire.BytesType)
 	b = protowire.AppendBytes(b, upstreams)
 	b = protowire.AppendTag(b, fieldRequests, protowire.BytesType)
-	return protowire.AppendBytes(b, requests)
+	b = protowire.AppendBytes(b, requests)
+	return appendFailures(b, counts)
+}
+
+// appendFailures adds the place among the counts, the failures and the outcomes of
+// each upstream with failures.
+func appendFailures(b []byte, counts []Count) []byte {
+	var failures []byte
+	n := 0
+	for i, c := range counts {
+		failed := uint64(math.Round(c.Failed / outcomeUnit))
+		if failed == 0 || n == maxFailures {
+			continue
+		}
+		n++
+		failures = protowire.AppendVarint(failures, uint64(i))
+		failures = protowire.AppendVarint(failures, failed)
+		failures = protowire.AppendVarint(failures, uint64(math.Round(c.Answered/outcomeUnit)))
+	}
+	if n == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, fieldFailures, protowire.BytesType)
+	return protowire.AppendBytes(b, failures)
 }
 
 // Decode reads a report. Unknown fields are passed over.
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
-	var upstreams, requests []byte
+	var upstreams, requests, failures []byte
 	var scope, doubt, doubtLeft uint64
 	for len(b) > 0 {
 		field, kind, n := protowire.ConsumeTag(b)
@@ -147,6 +181,8 @@
 			upstreams, n = protowire.ConsumeBytes(b)
 		case field == fieldRequests && kind == protowire.BytesType:
 			requests, n = protowire.ConsumeBytes(b)
+		case field == fieldFailures && kind == protowire.BytesType:
+			failures, n = protowire.ConsumeBytes(b)
 		case field == fieldScope && kind == protowire.VarintType:
 			scope, n = protowire.ConsumeVarint(b)
 		case field == fieldDoubt && kind == protowire.VarintType:
@@ -170,7 +206,30 @@
 	}
 	r.Scope = Scope(scope)
 	r.Doubt, r.DoubtLeft = time.Duration(doubt)*time.Millisecond, time.Duration(doubtLeft)*time.Millisecond
-	return r, r.decodeCounts(upstreams, requests)
+	if err := r.decodeCounts(upstreams, requests); err != nil {
+		return nil, err
+	}
+	return r, r.decodeFailures(failures)
+}
+
+// decodeFailures reads what appendFailures wrote.
+func (r *Report) decodeFailures(b []byte) error {
+	for len(b) > 0 {
+		var v [3]uint64
+		for i := range v {
+			n := 0
+			if v[i], n = protowire.ConsumeVarint(b); n < 0 {
+				return errMalformed
+			}
+			b = b[n:]
+		}
+		if v[0] >= uint64(len(r.Counts)) || v[1] > maxRequests || v[2] > maxRequests {
+			return errMalformed
+		}
+		c := &r.Counts[v[0]]
+		c.Failed, c.Answered = float64(v[1])*outcomeUnit, float64(v[2])*outcomeUnit
+	}
+	return nil
 }
 
 // maxDoubt bounds the times of a doubt in milliseconds.
@@ -194,7 +253,7 @@
 		if q > maxRequests {
 			return errMalformed
 		}
-		r.Counts = append(r.Counts, Count{u, int(q)})
+		r.Counts = append(r.Counts, Count{Upstream: u, Requests: int(q)})
 	}
 	if len(requests) > 0 {
 		return errUneven
--- a/internal/inflight/report_test.go
+++ b/internal/inflight/report_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestReportRoundTrip(t *testing.T) {
-	want := &Report{Entry: "edge-1", Scope: ScopeOthers, First: 1, Last: 1 << 31, Incarnation: 7, Sequence: 9, Doubt: 150 * time.Millisecond, DoubtLeft: 4 * time.Second, Counts: []Count{{0xfedcba98, 3}, {1, 400}}}
+	want := &Report{Entry: "edge-1", Scope: ScopeOthers, First: 1, Last: 1 << 31, Incarnation: 7, Sequence: 9, Doubt: 150 * time.Millisecond, DoubtLeft: 4 * time.Second, Counts: []Count{{0xfedcba98, 3, 0, 0}, {1, 400, 2.5, 7}}}
 	got, err := Decode(want.Append(nil))
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v", got, err)
@@ -17,7 +17,7 @@
 func TestReportFitsADatagram(t *testing.T) {
 	r := Report{Entry: "an entry with a name of some length", Incarnation: 1 << 60, Sequence: 1 << 40}
 	for i := range 5000 {
-		r.Counts = append(r.Counts, Count{uint32(i), 9})
+		r.Counts = append(r.Counts, Count{uint32(i), 400, 100, 1000})
 	}
 	if n := len(r.Append(nil)); n > maxDatagram {
 		t.Errorf("%d bytes", n)
@@ -25,7 +25,7 @@
 }
 
 func TestMalformedReports(t *testing.T) {
-	whole := (&Report{Entry: "e", Counts: []Count{{1, 2}}}).Append(nil)
+	whole := (&Report{Entry: "e", Counts: []Count{{1, 2, 1, 3}}}).Append(nil)
 	for name, b := range map[string][]byte{
 		"cut":                     whole[:len(whole)-1],
 		"upstream but no request": {fieldUpstreams<<3 | 2, 4, 1, 2, 3, 4},
@@ -39,7 +39,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add((&Report{Entry: "e", Sequence: 3, Counts: []Count{{1, 2}}}).Append(nil))
+	f.Add((&Report{Entry: "e", Sequence: 3, Counts: []Count{{1, 2, 1, 3}}}).Append(nil))
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r, err := Decode(b)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,18 +208,18 @@
 
 func (n *Node) counts(whose inflight.Whose) []inflight.Count {
 	var out []inflight.Count
-	n.Entry.Carrier.InFlightAt(balance.Counted(whose), func(upstream uint32, requests int) {
-		out = append(out, inflight.Count{Upstream: upstream, Requests: requests})
+	n.Entry.Carrier.LoadAt(balance.Counted(whose), func(upstream uint32, l balance.Load) {
+		out = append(out, inflight.Count{Upstream: upstream, Requests: l.Requests, Failed: l.Failed, Answered: l.Answered})
 	})
 	return out
 }
 
 func (n *Node) heard(peer string, r *inflight.Report) {
-	at := make(map[uint32]int, len(r.Counts))
+	load := balance.PeerLoad{Peer: peer, First: r.First, Last: r.Last, At: make(map[uint32]balance.Load, len(r.Counts))}
 	for _, c := range r.Counts {
-		at[c.Upstream] = c.Requests
+		load.At[c.Upstream] = balance.Load{Requests: c.Requests, Outcomes: balance.Outcomes{Failed: c.Failed, Answered: c.Answered}}
 	}
-	n.Entry.Carrier.Heard(peer, r.First, r.Last, at)
+	n.Entry.Carrier.Heard(load)
 	if r.DoubtLeft > 0 {
 		n.Entry.Carrier.HeardDoubt(forward.Doubt{Rest: r.Doubt, Until: n.now().Add(r.DoubtLeft)})
 	}
