Prove the retry budget over all entries, allowed regions and few changes of region

Change: tests alone. The budget's test has four entries whose upstreams break off every answer, with the requests spread in four ways; allowed regions are a property over random load and failures.

--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -309,6 +310,64 @@
 	}
 }
 
+// TestOnlyAllowedRegions picks under any load, failures and leaving upstreams. A
+// request never goes to a region that may not serve it.
+func TestOnlyAllowedRegions(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("only allowed regions", prop.ForAll(func(steps []int) string {
+		s, entries := site(2, 2)
+		g := groupAt(s, entries, entries[0])
+		allowed := func(region string) bool { return region == "sohar" }
+		now := t0
+		for _, step := range steps {
+			now = now.Add(time.Duration(step%7) * 20 * time.Millisecond)
+			c, err := g.PickObject(now, ObjectRequest{
+				Object: HashObject("r", fmt.Sprint(step%11)), Class: "r", Objective: time.Second, Regions: allowed, Spread: step%5 == 0,
+			})
+			if err != nil {
+				continue
+			}
+			if !allowed(c.Region) {
+				return "picked " + c.ID
+			}
+			if step%3 > 0 {
+				g.Done(now, c, Report{Result: []Result{OK, Shed, Failed, Unreachable}[step%4], Load: step % 4, Waiting: 0, Bytes: int64(step)})
+			}
+		}
+		return ""
+	}, gen.SliceOfN(200, gen.IntRange(0, 1<<20))))
+	properties.TestingRun(t)
+}
+
+// TestFewObjectsChangeRegion takes each upstream away in its turn, as a release does.
+// Objects that change their region are at most those of that upstream.
+func TestFewObjectsChangeRegion(t *testing.T) {
+	const objects = 1000
+	s, entries := site(6, 8)
+	regions := func(svc *model.Service) []string {
+		g := groupAt(svc, entries, entries[0])
+		out := make([]string, objects)
+		for o := range out {
+			out[o] = serve(t, g, t0, o, 0).Region
+		}
+		return out
+	}
+	before := regions(s)
+	for i := range s.Upstreams {
+		without := *s
+		without.Upstreams = slices.Delete(slices.Clone(s.Upstreams), i, i+1)
+		moved := 0
+		for o, r := range regions(&without) {
+			if r != before[o] {
+				moved++
+			}
+		}
+		if most := 1.5 * objects / float64(len(s.Upstreams)/2); float64(moved) > most {
+			t.Errorf("without %s: %d of %d objects change region, more than %.0f", s.Upstreams[i].ID, moved, objects, most)
+		}
+	}
+}
+
 // tellAll has every entry hear of what each other one knows itself.
 func tellAll(groups []*Group, now time.Time) {
 	for i, from := range groups {
--- /dev/null
+++ b/internal/forward/budget_test.go
@@ -0,0 +1,90 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/header"
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/share"
+)
+
+// routed is the native protocol with one route for every request.
+type routed struct {
+	Native
+	route *model.Route
+}
+
+// Parse implements Protocol.
+func (p routed) Parse(r *http.Request, _ *model.Snapshot) (Ask, *Fault) {
+	return Ask{ID: r.Header.Get(header.RequestID), Route: p.route, Safe: p.route.Safe, Object: r.URL.Path}, nil
+}
+
+// newRouted returns one of several entries with one route to fakes.
+func newRouted(t *testing.T, entries int, route *model.Route, fakes []*fake) *entry {
+	c := New(Options{
+		Room: 100, Now: time.Now, Protocol: routed{route: route}, Book: share.NewBook(), Domain: "a",
+		Boot: func() int64 { return 0 }, NewID: func() string { return "own" }, Observe: func(Outcome) {},
+	})
+	in := model.RoutedInput{
+		Region: "muscat", RetryBudget: 0.2, RetryBurst: 12,
+		Config: &model.Config{Version: 1, Routes: []*model.Route{route}, Services: map[string]model.ServiceConfig{"orders": {}}},
+	}
+	for i := range entries {
+		in.Members = append(in.Members, model.Member{ID: fmt.Sprint("n", i), Region: "muscat", State: membership.Alive})
+	}
+	for i, f := range fakes {
+		in.Upstreams = append(in.Upstreams, model.Upstream{
+			ID: fmt.Sprint("u", i), Service: "orders", Region: "muscat", Domain: "a", Address: f.lis.Addr().String(), Slots: 100,
+		})
+	}
+	c.Update(model.CompileRouted(in))
+	srv := httptest.NewServer(c)
+	t.Cleanup(srv.Close)
+	return &entry{c, srv.URL}
+}
+
+// TestRetryBudgetHoldsOverAllEntries has every upstream break off every answer. What
+// all entries together send beyond the first attempt of each request stays within
+// the budget of the service, however the requests are spread over them.
+func TestRetryBudgetHoldsOverAllEntries(t *testing.T) {
+	const entries, requests = 4, 120
+	for name, entryOf := range map[string]func(i int) int{
+		"evenly":         func(i int) int { return i % entries },
+		"all at one":     func(int) int { return 0 },
+		"half at one":    func(i int) int { return (i % 2) * (i % entries) },
+		"one by another": func(i int) int { return i * entries / requests },
+	} {
+		t.Run(name, func(t *testing.T) {
+			fakes := []*fake{newFake(t), newFake(t), newFake(t), newFake(t)}
+			for _, f := range fakes {
+				f.always = cuts
+			}
+			route := &model.Route{
+				Name: "r", Safe: true, Attempts: 3, Timeout: time.Minute, Affinity: true,
+				Parts: []model.Part{{Service: "orders", Weight: 1}},
+			}
+			var all []*entry
+			for range entries {
+				all = append(all, newRouted(t, entries, route, fakes))
+			}
+			for i := range requests {
+				all[entryOf(i)].send(t, http.MethodGet, fmt.Sprint("/", i), "", header.RequestID, fmt.Sprint("r", i))
+			}
+			arrivals := 0
+			for _, f := range fakes {
+				arrivals += len(f.receipts())
+			}
+			if bound := 0.2*requests + 12; float64(arrivals-requests) > bound {
+				t.Errorf("%d arrivals for %d requests, allowed %.0f beyond the first", arrivals, requests, bound)
+			}
+			if arrivals < requests {
+				t.Errorf("%d arrivals for %d requests", arrivals, requests)
+			}
+		})
+	}
+}
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -55,7 +55,9 @@
 	lis  net.Listener
 	mu   sync.Mutex
 	next []behaviour
-	got  []receipt
+	// always is what follows after next.
+	always behaviour
+	got    []receipt
 	// left receives a value when a client closes the connection of a hanging
 	// request.
 	left chan struct{}
@@ -84,7 +86,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.next) == 0 {
-		return answers
+		return f.always
 	}
 	b := f.next[0]
 	f.next = f.next[1:]
