Count only an upstream's own failures for outliers; let only prompt resets cast doubt on rests

Change: answers that broke off or never came are no outcomes; a reset casts doubt only within one and a half round trips and 20 ms. Tests: TestLostAnswersAreBorne, TestPromptly (both fail before).

--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -300,6 +300,21 @@
 	}
 }
 
+// TestLostAnswersAreBorne has every second answer of an upstream lost on the way. It is
+// well itself, and has its objects at hand.
+func TestLostAnswersAreBorne(t *testing.T) {
+	s, entries := site(3, 8)
+	g := groupAt(s, entries, entries[0])
+	sick := serve(t, g, t0, 1, 0).ID
+	for i := range 20 {
+		c := pickObject(t, g, t0, 1)
+		if c.ID != sick {
+			t.Fatalf("moved to %s after %d requests", c.ID, i)
+		}
+		g.Done(t0, c, Report{Result: []Result{OK, Failed}[i%2], Load: 0, Waiting: 0})
+	}
+}
+
 // TestAllFailingIsNoReasonToRefuse has every upstream fail.
 func TestAllFailingIsNoReasonToRefuse(t *testing.T) {
 	s, entries := site(2, 8)
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -367,8 +367,8 @@
 	if best := g.roundTrip[c.Region]; r.Connect > 0 && (best == 0 || r.Connect < best) {
 		g.roundTrip[c.Region] = r.Connect
 	}
-	if r.Result != Shed && r.Result != Abandoned {
-		m.countOutcome(now, r.Errored || r.Result != OK)
+	if r.Result == OK || r.Result == Unreachable {
+		m.countOutcome(now, r.Errored || r.Result == Unreachable)
 	}
 	g.learn(m, now, c, r)
 	g.judge(m, now, now.Sub(c.Picked), r.Result)
--- a/internal/balance/outlier.go
+++ b/internal/balance/outlier.go
@@ -17,9 +17,12 @@
 	outlierFor = 3 * time.Second
 )
 
-// Outcomes counts how recent requests to an upstream ended.
+// Outcomes counts how recent requests to an upstream ended. Answers that broke off or
+// never came do not count: they may be lost on the way, at an upstream that is well,
+// and its objects would be cold elsewhere.
 type Outcomes struct {
-	// Failed are those that got no answer or the upstream's own failure, Answered all.
+	// Failed are those that got the upstream's own failure or no connection, Answered
+	// all.
 	Failed, Answered float64
 }
 
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -102,7 +102,7 @@
 	resp, err := c.exchange(req)
 	if err != nil {
 		c.close()
-		if now := p.opt.Now(); !c.restedSince.IsZero() && ctx.Err() == nil && now.Sub(sent) < promptly {
+		if now := p.opt.Now(); !c.restedSince.IsZero() && ctx.Err() == nil && promptly(now.Sub(sent), c.connect) {
 			p.rests.broke(sent.Sub(c.restedSince), now)
 		}
 		if ctx.Err() != nil {
--- a/internal/forward/rest.go
+++ b/internal/forward/rest.go
@@ -12,12 +12,20 @@
 	doubtFor = 8 * time.Second
 	// doubtShare is the part of a rest that broke up to which rests are trusted.
 	doubtShare = 0.5
-	// promptly is within what time of the request an upstream resets a connection that
-	// it has forgotten: the way there and back. One that breaks later was lost with
-	// the work.
-	promptly = 250 * time.Millisecond
+	// promptShare and promptSlack say within what time of the request an upstream
+	// resets a connection that it has forgotten: the way there and back, which is about
+	// what the connection took to be made, and a little. One that breaks later was
+	// lost with the work: warm work takes 150 ms and more at both users' sites.
+	promptShare = 1.5
+	promptSlack = 20 * time.Millisecond
 )
 
+// promptly reports whether a connection broke so soon after a request that its
+// upstream must have forgotten it.
+func promptly(took, connect time.Duration) bool {
+	return took < time.Duration(promptShare*float64(connect))+promptSlack
+}
+
 // Doubt says that connections which rested for longer than a time are not to be
 // trusted with a request that may run only once: the upstream may have forgotten
 // them silently, and after a reset nobody can tell whether the request ran.
--- a/internal/forward/rest_test.go
+++ b/internal/forward/rest_test.go
@@ -33,6 +33,24 @@
 	expect(time.Second+doubtFor, 0, 0)
 }
 
+// A warm upstream that loses an answer breaks its connection later than one that has
+// forgotten it, wherever it stands.
+func TestPromptly(t *testing.T) {
+	for _, tt := range []struct {
+		took, connect time.Duration
+		want          bool
+	}{
+		{time.Millisecond, time.Millisecond, true},
+		{150 * time.Millisecond, time.Millisecond, false},
+		{111 * time.Millisecond, 110 * time.Millisecond, true},
+		{260 * time.Millisecond, 110 * time.Millisecond, false},
+	} {
+		if got := promptly(tt.took, tt.connect); got != tt.want {
+			t.Errorf("broke after %v, connected in %v: %v", tt.took, tt.connect, got)
+		}
+	}
+}
+
 // forgetful is an upstream that forgets its first connection after one answer: it
 // resets whatever comes on it next.
 func forgetful(n int, c net.Conn, r *bufio.Reader) {
