--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -179,18 +179,6 @@
 	return ids
 }
 
-// pause waits for d, or until ctx ends; it reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // intN returns a random number below n.
 func (a *Agent) intN(n int) int {
 	a.proberMu.Lock()
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+	"github.com/loomkeel/loomkeel/internal/wait"
 )
 
 const (
@@ -35,7 +36,7 @@
 
 // probeLoop probes one member each period.
 func (a *Agent) probeLoop(ctx context.Context) {
-	if !pause(ctx, time.Duration(a.intN(int(a.opt.Period)))) {
+	if !wait.For(ctx, time.Duration(a.intN(int(a.opt.Period)))) {
 		return
 	}
 	tick := time.NewTicker(a.opt.Period)
--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/loomkeel/loomkeel/internal/configlog"
+	"github.com/loomkeel/loomkeel/internal/wait"
 )
 
 const (
@@ -60,14 +61,14 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if !a.plan().Reader {
-			pause(ctx, idleCheck)
+			wait.For(ctx, idleCheck)
 			continue
 		}
 		started := time.Now()
 		err := read(ctx)
 		if err == nil {
 			backoff = firstBackoff
-			pause(ctx, max(0, wakeEvery-time.Since(started)))
+			wait.For(ctx, max(0, wakeEvery-time.Since(started)))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -75,7 +76,7 @@
 		}
 		a.stats.StoreFailed.Add(1)
 		klog.V(1).InfoS("platform call failed", "what", what, "err", err)
-		pause(ctx, a.jitter(backoff))
+		wait.For(ctx, a.jitter(backoff))
 		backoff = min(2*backoff, lastBackoff)
 	}
 }
--- a/internal/agent/node.go
+++ b/internal/agent/node.go
@@ -11,6 +11,7 @@
 	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
 	"github.com/loomkeel/loomkeel/internal/tree"
+	"github.com/loomkeel/loomkeel/internal/wait"
 )
 
 // Names of the processes beside an agent.
@@ -51,7 +52,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if !pause(ctx, viewEvery) {
+		if !wait.For(ctx, viewEvery) {
 			return ctx.Err()
 		}
 	}
--- a/internal/agent/push.go
+++ b/internal/agent/push.go
@@ -10,6 +10,7 @@
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/rpc"
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
+	"github.com/loomkeel/loomkeel/internal/wait"
 )
 
 const (
@@ -31,7 +32,7 @@
 		if newest > revision || upstreams.Version > list {
 			revision = a.push(ctx, revision, list)
 			list = upstreams.Version
-			if !pause(ctx, pushEvery) {
+			if !wait.For(ctx, pushEvery) {
 				return
 			}
 			continue
--- a/internal/agent/shares.go
+++ b/internal/agent/shares.go
@@ -12,6 +12,7 @@
 	"github.com/loomkeel/loomkeel/internal/rpc/pb"
 	"github.com/loomkeel/loomkeel/internal/share"
 	"github.com/loomkeel/loomkeel/internal/tree"
+	"github.com/loomkeel/loomkeel/internal/wait"
 )
 
 const (
@@ -23,7 +24,7 @@
 
 // shareLoop takes part in the division of the caps.
 func (a *Agent) shareLoop(ctx context.Context) {
-	for pause(ctx, a.jitter(shareEvery)) {
+	for wait.For(ctx, a.jitter(shareEvery)) {
 		terms, hold := a.terms()
 		if len(terms) == 0 {
 			continue
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
 )
 
 const (
@@ -21,14 +23,6 @@
 	maxDatagram = 1400
 )
 
-// Whose says which requests a report is to count.
-type Whose struct {
-	// Own is set for those of this entry.
-	Own bool
-	// Peers reports whether those that a peer told of are meant; nil means none.
-	Peers func(peer string) bool
-}
-
 // Options sets up an Exchange.
 type Options struct {
 	// Address is the own one, IP:PORT for UDP.
@@ -39,7 +33,7 @@
 	// Fleet returns the other entries.
 	Fleet func() Fleet
 	// Counts returns what to report.
-	Counts func(Whose) []Count
+	Counts func(balance.Counted) []Count
 	// Doubt returns the Doubt and DoubtLeft of reports.
 	Doubt func() (rest, left time.Duration)
 	// Heard takes in a report. Peer names whose requests it counts.
@@ -97,7 +91,7 @@
 	switch {
 	case len(fleet.Peers) == 0:
 	case len(fleet.Peers) <= maxDirect:
-		x.tell(fleet.Peers, ScopeOwn, Whose{Own: true})
+		x.tell(fleet.Peers, ScopeOwn, balance.Counted{Own: true})
 	default:
 		x.sendByHubs(fleet, now)
 	}
@@ -117,23 +111,23 @@
 	x.mu.Unlock()
 	isHub := hub.ID == x.opt.Entry
 	if !isHub {
-		x.tell([]Peer{hub}, ScopeOwn, Whose{Own: true})
+		x.tell([]Peer{hub}, ScopeOwn, balance.Counted{Own: true})
 	}
 	for _, p := range reporting {
-		x.tell([]Peer{p}, ScopeOthers, Whose{Own: true, Peers: func(peer string) bool { return peer != p.ID && peer != others }})
+		x.tell([]Peer{p}, ScopeOthers, balance.Counted{Own: true, Peers: func(peer string) bool { return peer != p.ID && peer != others }})
 	}
 	if isHub || len(reporting) > 0 {
 		from := make(map[string]bool, len(reporting))
 		for _, p := range reporting {
 			from[p.ID] = true
 		}
-		x.tell(remote, ScopeDomain, Whose{Own: isHub, Peers: func(peer string) bool { return from[peer] }})
+		x.tell(remote, ScopeDomain, balance.Counted{Own: isHub, Peers: func(peer string) bool { return from[peer] }})
 	}
 }
 
 // tell sends one report to the peers that are due for it. A datagram that cannot be
 // sent is as good as lost.
-func (x *Exchange) tell(peers []Peer, scope Scope, whose Whose) {
+func (x *Exchange) tell(peers []Peer, scope Scope, whose balance.Counted) {
 	far := x.seq%uint64(farPeriod/nearPeriod) == 0
 	due := make([]netip.AddrPort, 0, len(peers))
 	for _, p := range peers {
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
@@ -114,7 +116,7 @@
 
 const theUpstream = 7
 
-func (e *entry) counts(w Whose) []Count {
+func (e *entry) counts(w balance.Counted) []Count {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,9 +206,9 @@
 	}
 }
 
-func (n *Node) counts(whose inflight.Whose) []inflight.Count {
+func (n *Node) counts(whose balance.Counted) []inflight.Count {
 	var out []inflight.Count
-	n.Entry.Carrier.LoadAt(balance.Counted(whose), func(upstream uint32, l balance.Load) {
+	n.Entry.Carrier.LoadAt(whose, func(upstream uint32, l balance.Load) {
 		out = append(out, inflight.Count{Upstream: upstream, Requests: l.Requests, Failed: l.Failed, Answered: l.Answered})
 	})
 	return out
