--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -9,6 +9,8 @@
 	pkgBalance = "./internal/balance"
 	pkgShare   = "./internal/share"
 	pkgProofs  = "./test/proofs"
+	// pkgPlatform is the adapter.
+	pkgPlatform = "./platform"
 )
 
 var ablations = []ablation{
@@ -45,13 +47,31 @@
 	{"dividing the bound of a cold upstream", "internal/balance/cold.go",
 		"return m.coldTokens >= 1", "return true", pkgBalance, "ColdBound", nil},
 	{"passing over silent upstreams", "internal/balance/placement.go",
-		"if !g.silent(m, now) {", "if true || !g.silent(m, now) {", pkgBalance, "Silent", nil},
+		"if !g.silent(m, now) && !m.outlying(now) {", "if !m.outlying(now) {", pkgBalance, "Silent", nil},
+	{"passing over upstreams that fail part of their requests", "internal/balance/placement.go",
+		"if !g.silent(m, now) && !m.outlying(now) {", "if !g.silent(m, now) {", pkgBalance, "PartialFailures", nil},
+	{"lost answers are no failures of their upstream", "internal/balance/group.go",
+		"m.countOutcome(now, r.Errored || r.Result == Unreachable)", "m.countOutcome(now, r.Errored || r.Result == Unreachable)\n\t}\n\tif r.Result == Failed {\n\t\tm.countOutcome(now, true)", pkgBalance, "LostAnswers", nil},
+	{"doubt of connections that rested", "internal/forward/pool.go",
+		"if d.Until.IsZero() || !isOnce(ctx) {", "if true || d.Until.IsZero() || !isOnce(ctx) {", pkgForward, "Forgotten", nil},
+	{"retry budget", "internal/forward/serve.go",
+		"return l.budget.Take()", "return true", pkgForward, "RetryBudget", nil},
+	{"only allowed regions", "internal/balance/placement.go",
+		"return req.Regions == nil || req.Regions(m.Region)", "return true", pkgBalance, "OnlyAllowed", nil},
+	{"one reader a failure domain", "internal/relay/plan.go",
+		"if own.ID == self.ID {", "if true || own.ID == self.ID {", pkgPlatform, "OneNodeReads", nil},
+	{"passing on that the store was away", "platform/feed.go",
+		"f.heardOfReturn(returned)\n", "_ = returned\n", pkgPlatform, "LossIsPassedOn", nil},
+	{"giving up a silent hub", "internal/inflight/hub.go",
+		"if now.Sub(since) < hubSilence {", "if true || now.Sub(since) < hubSilence {", "./internal/inflight", "SilentHub", nil},
+	{"fast links read", "internal/relay/plan.go",
+		"return cmp.Compare(b.LinkMbps, a.LinkMbps)", "return 0", "./internal/relay", "FastLink", nil},
 	{"unmeasured work is not free", "internal/balance/late.go",
 		"priorShare * float64(r.Objective)", "0 * priorShare * float64(r.Objective)", pkgBalance, "UnknownWork", nil},
 	{"time for lapsed entries to come back", "internal/view/view.go",
 		"if v.unsettled(now) && !u.Leaving {", "if false && !u.Leaving {", "./internal/view", "Lapsed", nil},
 	{"versions only rise", "internal/view/view.go",
-		"c.Version <= v.config.Version", "c.Version == v.config.Version", "./platform", "OlderConfiguration", nil},
+		"c.Version <= v.config.Version", "c.Version == v.config.Version", pkgPlatform, "OlderConfiguration", nil},
 	{"retry only by verdict", "internal/forward/serve.go",
 		"if err.Verdict != verdict.NotRun && !cl.Safe {", "if false {", pkgForward, "Attempts|NeverLie", nil},
 	{"whole answers read before delivery", "internal/forward/attempt.go",
