--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -7,14 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/loomkeel/loomkeel/internal/model"
-)
-
-const (
-	// farWeight is the weight of regions that nothing has to spill to: enough to
-	// have an order among their upstreams when all nearer ones are gone.
-	farWeight = 1e-6
 )
 
 // candidate is an upstream that may serve an object, with its place in the order
@@ -71,53 +63,6 @@
 	return x ^ x>>31
 }
 
-// weigh sets the weights of the upstreams for an entry's region. Regions are
-// taken to ask for equal shares of the service. A region that has the capacity
-// for its share keeps its requests; the others send what is too much for them to
-// where there is capacity to spare, so that all upstreams are loaded alike.
-func (g *Group) weigh(home string, demand map[string]float64) {
-	capacity := make(map[string]float64)
-	total := 0.0
-	for _, m := range g.all {
-		slots := float64(max(m.Slots, 1))
-		capacity[m.Region] += slots
-		total += slots
-	}
-	spare := make(map[string]float64)
-	spareTotal := 0.0
-	for region, c := range capacity {
-		spare[region] = math.Max(0, c/total-demand[region])
-		spareTotal += spare[region]
-	}
-	kept := 1.0
-	if demand[home] > 0 {
-		kept = math.Min(1, capacity[home]/total/demand[home])
-	}
-	for _, m := range g.all {
-		share := farWeight
-		switch {
-		case m.Region == home:
-			share = math.Max(share, kept)
-		case spareTotal > 0:
-			share = math.Max(share, (1-kept)*spare[m.Region]/spareTotal)
-		}
-		m.weight = share * float64(max(m.Slots, 1)) / capacity[m.Region]
-	}
-}
-
-// demandByRegion is the share of a service's requests that each region asks for.
-// Regions with an entry are taken to ask alike.
-func demandByRegion(entries []model.Member) map[string]float64 {
-	demand := make(map[string]float64)
-	for _, e := range entries {
-		demand[e.Region] = 1
-	}
-	for region := range demand {
-		demand[region] = 1 / float64(len(demand))
-	}
-	return demand
-}
-
 // HashObject returns the hash of an object of a class.
 func HashObject(class, object string) uint64 {
 	d := xxhash.New()
