--- a/internal/process/reload_test.go
+++ b/internal/process/reload_test.go
@@ -65,3 +65,18 @@
 	write(t, path, "three")
 	<-changed
 }
+
+// TestHangUpDoesNotEndAStoppingProcess sends a real signal after Reload has returned,
+// as while a process finishes its last requests.
+func TestHangUpDoesNotEndAStoppingProcess(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	write(t, path, "one")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	Reload(ctx, path, []byte("one"), time.Hour, func([]byte) {})
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	// A signal to the own process may be delivered to another thread a little later.
+	time.Sleep(50 * time.Millisecond)
+}
