Let a node that starts while the store is away ask the entries that report to it

Change: addresses of unknown reporters are remembered; an entry that knows nothing gets from them what they last knew, also while they have lost the store, and then goes on as after any loss.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -101,7 +101,9 @@
 	store := platform.NewStore(s.Store)
 	dialer := rpc.NewDialer(nil, nil)
 	feed := platform.NewFeed(platform.FeedOptions{
-		Store: store, Apply: n.Apply, Self: self, Members: n.Members, Peers: relay.NewClient(dialer, time.Now),
+		Store: store, Apply: n.Apply, Self: self, Members: n.Members,
+		Peers:     relay.NewClient(dialer, time.Now),
+		Strangers: func() []relay.Source { return n.Strangers.Sources(time.Now()) },
 	})
 	registrar, err := platform.NewRegistrar(store, feed, self, s.Store.MinLease)
 	if err != nil {
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -38,6 +38,8 @@
 	Doubt func() (rest, left time.Duration)
 	// Heard takes in a report. Peer names whose requests it counts.
 	Heard func(peer string, r *Report)
+	// Stranger is told of reports by entries that are not in the fleet.
+	Stranger func(from netip.AddrPort)
 }
 
 // Exchange sends the own reports and receives those of others.
@@ -163,7 +165,7 @@
 			klog.V(1).InfoS("report refused", "from", from, "err", err)
 			continue
 		}
-		x.take(r, time.Now())
+		x.take(r, from, time.Now())
 	}
 }
 
@@ -172,7 +174,7 @@
 const others = "*"
 
 // take brings in a report of an entry that is known.
-func (x *Exchange) take(r *Report, now time.Time) {
+func (x *Exchange) take(r *Report, from netip.AddrPort, now time.Time) {
 	fleet := x.opt.Fleet()
 	for _, p := range fleet.Peers {
 		if p.ID != r.Entry {
@@ -184,6 +186,7 @@
 		x.opt.Heard(nameOf(r), r)
 		return
 	}
+	x.opt.Stranger(from)
 }
 
 // nameOf names whose requests a report counts. An entry that is both a hub and a
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -171,7 +171,7 @@
 			e := &entry{heard: make(map[string]int), changed: make(chan struct{}, 1)}
 			e.peer = Peer{ID: fmt.Sprint(domain, "-", i), Domain: domain, Near: true}
 			x, err := Listen(Options{
-				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt,
+				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Stranger: func(netip.AddrPort) {},
 				Fleet: func() Fleet { return fleetFor(e, all) },
 			})
 			if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/loomkeel/loomkeel/internal/inflight"
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/relay"
 	"github.com/loomkeel/loomkeel/internal/view"
 )
 
@@ -39,7 +41,9 @@
 // Node is the state of one process. It is safe for concurrent use.
 type Node struct {
 	Entry *entry.Entry
-	now   func() time.Time
+	// Strangers are entries that report to this one without being known.
+	Strangers *relay.Strangers
+	now       func() time.Time
 
 	mu      sync.Mutex
 	view    *view.View
@@ -52,7 +56,7 @@
 
 // New returns a Node that refuses everything until it is synced.
 func New(opt view.Options, carrier forward.Options) *Node {
-	n := &Node{Entry: entry.New(carrier), now: carrier.Now, view: view.New(opt)}
+	n := &Node{Entry: entry.New(carrier), Strangers: relay.NewStrangers(), now: carrier.Now, view: view.New(opt)}
 	n.members.Store(new([]model.Member))
 	return n
 }
@@ -203,6 +207,7 @@
 		Counts:      n.counts,
 		Doubt:       n.doubt,
 		Heard:       n.heard,
+		Stranger:    func(from netip.AddrPort) { n.Strangers.Heard(from.String(), n.now()) },
 	}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -51,7 +51,9 @@
 	if ago := s.now().Sub(state.Returned); !state.Returned.IsZero() && ago < returnedRecently {
 		reply.ReturnedMilli = uint32(max(1, ago.Milliseconds()))
 	}
-	if state.Following {
+	// An entry that knows nothing yet gets what there is even from one that does not
+	// follow the service: it has nobody else to ask while the service is away.
+	if state.Following || req.GetAfter() == 0 {
 		reply.Whole, reply.Records, reply.Revision = b.Whole, recordsToProto(b.Records), b.Revision
 	}
 	return reply, nil
@@ -68,7 +70,8 @@
 
 // Changes asks the peer at an address for what changed after a revision, for which
 // it may wait. Returned is when the service was reached again after a loss; zero if
-// that is long past. It is told even if the peer cannot be followed now.
+// that is long past. It is told even if the peer cannot be followed now; and with
+// after 0 so is what the peer knows.
 func (c *Client) Changes(ctx context.Context, addr string, after int64, wait time.Duration) (b Batch, returned time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
@@ -81,12 +84,16 @@
 	if ago := reply.GetReturnedMilli(); ago > 0 {
 		returned = c.now().Add(-time.Duration(ago) * time.Millisecond)
 	}
+	records, err := recordsFromProto(reply.GetRecords())
+	if err != nil {
+		return Batch{}, returned, err
+	}
+	b = Batch{reply.GetWhole(), records, reply.GetRevision()}
 	switch {
 	case reply.GetLost():
-		return Batch{}, returned, ErrLost
+		return b, returned, ErrLost
 	case reply.GetUnavailable():
-		return Batch{}, returned, ErrUnavailable
+		return b, returned, ErrUnavailable
 	}
-	records, err := recordsFromProto(reply.GetRecords())
-	return Batch{reply.GetWhole(), records, reply.GetRevision()}, returned, err
+	return b, returned, nil
 }
