Count sheds by upstreams with slots to spare as failures

Change: a shed by an upstream that says, or is known, to have slots to spare is an outcome that failed and no sign of load.

--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -331,6 +331,9 @@
 	OK Result = iota
 	// Shed means the upstream refused for load; it is healthy, but full.
 	Shed
+	// ShedIdle means the upstream refused as if for load, though it had slots to spare.
+	// Done finds out.
+	ShedIdle
 	// Failed means no answer came, or a broken one.
 	Failed
 	// Unreachable means that not even a connection was to be had. Once is enough
@@ -378,8 +381,11 @@
 	if best := g.roundTrip[c.Region]; r.Connect > 0 && (best == 0 || r.Connect < best) {
 		g.roundTrip[c.Region] = r.Connect
 	}
-	if r.Result == OK || r.Result == Unreachable {
-		m.countOutcome(now, r.Errored || r.Result == Unreachable)
+	if r.Result == Shed && g.shedForNothing(m, now, c, r) {
+		r.Result = ShedIdle
+	}
+	if r.Result == OK || r.Result == Unreachable || r.Result == ShedIdle {
+		m.countOutcome(now, r.Errored || r.Result != OK)
 	}
 	g.learn(m, now, c, r)
 	g.judge(m, now, now.Sub(c.Picked), r.Result)
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -61,6 +61,8 @@
 			m.latency = took
 		}
 		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
+	case ShedIdle:
+		m.heardAt = now
 	case Shed:
 		m.heardAt = now
 		m.shedUntil = now.Add(shedFor)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,7 +46,8 @@
 }
 
 // attempt sends the call to one upstream. The error, if any, has the verdict of
-// this attempt alone.
+// this attempt alone; the answer is then nil, or has only what the upstream told of
+// itself as it refused.
 func (c *Carrier) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*answer, *verdict.Error) {
 	body, ok := cl.body.attach(ctx)
 	if !ok {
@@ -67,7 +68,7 @@
 		e := verdict.New(verdict.NotRun, told.NotRun, fmt.Errorf("upstream answered %s", resp.Status))
 		e.RetryAfter = retryAfterOf(resp)
 		discard(resp)
-		return nil, e
+		return &answer{told: told}, e
 	}
 	if told.Broken != "" {
 		discard(resp)
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -50,7 +50,7 @@
 			sheds++
 			last = err
 			patient = !l.sheds.Take()
-			c.done(l, choice, reportFor(err))
+			c.done(l, choice, reportFor(ans, err))
 			continue
 		}
 		out.Attempts++
@@ -62,7 +62,7 @@
 		if err == nil {
 			err = brokenAnswer(ans)
 		}
-		c.done(l, choice, reportFor(err))
+		c.done(l, choice, reportFor(ans, err))
 		regions = cl.after(err, choice.Region, regions)
 		cl.outcome = verdict.Join(cl.outcome, err.Verdict)
 		last = err
@@ -105,9 +105,13 @@
 	return verdict.New(verdict.Ran, reasonBroken, errors.New("upstream answered "+a.resp.Status))
 }
 
-// reportFor tells the balancer how a failed attempt reflects on its upstream.
-func reportFor(err *verdict.Error) balance.Report {
+// reportFor tells the balancer how a failed attempt reflects on its upstream. The
+// answer is that of the attempt, or nil.
+func reportFor(ans *answer, err *verdict.Error) balance.Report {
 	r := balance.Report{Result: balance.Failed, Load: -1, Waiting: -1}
+	if ans != nil {
+		r.Load, r.Waiting = ans.told.Load, ans.told.Waiting
+	}
 	switch err.Reason {
 	case ReasonShed:
 		r.Result = balance.Shed
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -54,6 +54,8 @@
 		"if !g.silent(m, now) && !m.outlying(now) {", "if !m.outlying(now) {", pkgBalance, "Silent", nil},
 	{"passing over upstreams that fail part of their requests", "internal/balance/placement.go",
 		"if !g.silent(m, now) && !m.outlying(now) {", "if !g.silent(m, now) {", pkgBalance, "PartialFailures", nil},
+	{"sheds by upstreams with slots to spare are failures", "internal/balance/group.go",
+		"r.Result = ShedIdle", "r.Result = Shed", pkgBalance, "IdleSheds", nil},
 	{"lost answers are no failures of their upstream", "internal/balance/group.go",
 		"m.countOutcome(now, r.Errored || r.Result == Unreachable)", "m.countOutcome(now, r.Errored || r.Result == Unreachable)\n\t}\n\tif r.Result == Failed {\n\t\tm.countOutcome(now, true)", pkgBalance, "LostAnswers", nil},
 	{"doubt of connections that rested", "internal/forward/pool.go",
