Let the shares of regions follow their capacity at once

Cause: shares that moved by half of the bound on shifts were right only 10 s after a failure domain was emptied; the domain is back after 8 or 9 s. The bound does not ask for it: such moves have a cause that operators gave, and before upstreams were gone from the list at once too.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -154,7 +154,6 @@
 		RetrySlack: retryShare * b.RetrySlack,
 		ColdFactor: b.ColdFactor,
 		ColdSlack:  b.ColdSlack,
-		MaxShift:   b.MaxShift,
 	}
 }
 
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -52,10 +52,6 @@
 func (g *Group) PickObject(now time.Time, req ObjectRequest) (Choice, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.firstPick.IsZero() {
-		g.firstPick = now
-	}
-	g.weighIfDue(now)
 	ranked := g.rank(now, req)
 	if len(ranked) == 0 {
 		return Choice{}, ErrNoUpstream
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -122,16 +122,6 @@
 	entries []model.Member
 	// coldRate bounds the requests to a cold upstream per second from all entries.
 	coldRate float64
-	// home is the own region, demand what part of all requests each region asks for.
-	home   string
-	demand map[string]float64
-	// shares is what part of the own region's requests goes to each region as of
-	// weighedAt; maxShift bounds how fast it moves.
-	shares    shares
-	weighedAt time.Time
-	maxShift  float64
-	// firstPick is when the first upstream was picked for an object.
-	firstPick time.Time
 	// byClass are the times that classes of requests take, meanWork that of all.
 	byClass  map[string]*times
 	meanWork time.Duration
@@ -199,8 +189,7 @@
 			g.forget(id, m)
 		}
 	}
-	g.home, g.maxShift, g.demand = in.Home, svc.MaxShift, demandByRegion(in.Entries)
-	g.weigh(now)
+	g.weigh(now, in.Home, demandByRegion(in.Entries))
 }
 
 // forget drops an upstream that is gone once its last request has ended.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -73,9 +73,6 @@
 	ColdRate float64
 	// RetryBurst is how many retries an entry may make before it has earned any.
 	RetryBurst float64
-	// MaxShift is the largest part of a region's requests that may change the region
-	// they go to within two seconds; 0 means no bound.
-	MaxShift float64
 }
 
 // Link is the way from the own region to another.
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -124,9 +124,6 @@
 	// multiplied by for that bound.
 	ColdBurst  float64
 	ColdFactor float64
-	// MaxShift is the largest part of a region's requests that may change the region
-	// they go to within two seconds; 0 means no bound.
-	MaxShift float64
 }
 
 // CompileRouted returns the snapshot of a routed configuration.
@@ -170,7 +167,6 @@
 		ColdRate:       c.WarmupRate*in.ColdFactor + in.ColdBurst,
 		RetryBudget:    in.RetryBudget,
 		RetryBurst:     in.RetryBurst / float64(entries),
-		MaxShift:       in.MaxShift,
 		Routed:         true,
 	}
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -38,9 +38,6 @@
 	// ColdFactor and ColdSlack bound the requests to a cold upstream in a second
 	// by its rate times the one plus the other.
 	ColdFactor, ColdSlack float64
-	// MaxShift is the largest part of a region's requests that may change the region
-	// they go to within two seconds; 0 means no bound.
-	MaxShift float64
 }
 
 // View is the state. It is not safe for concurrent use.
@@ -283,6 +280,5 @@
 		RetryBurst:  v.opt.Policy.RetrySlack,
 		ColdBurst:   v.opt.Policy.ColdSlack,
 		ColdFactor:  v.opt.Policy.ColdFactor,
-		MaxShift:    v.opt.Policy.MaxShift,
 	})
 }
