Take idle sheds for no sign of load, and ask the same upstream again

While half of the upstreams counted as failing they were passed over in turns, and objects were cold at whoever remained. Change: such a shed is no load and no failure; the request goes to the same upstream again while more than one attempt is left.

--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -321,7 +321,7 @@
 	// Shed means the upstream refused for load; it is healthy, but full.
 	Shed
 	// ShedIdle means the upstream refused as if for load, though it had slots to spare.
-	// Done finds out.
+	// Done finds out. The request may be sent there again.
 	ShedIdle
 	// Failed means no answer came, or a broken one.
 	Failed
@@ -350,13 +350,13 @@
 	Connect time.Duration
 }
 
-// Done ends a Choice and frees its slot.
-func (g *Group) Done(now time.Time, c Choice, r Report) {
+// Done ends a Choice and frees its slot. It returns the result as it counts.
+func (g *Group) Done(now time.Time, c Choice, r Report) Result {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.byID[c.ID]
 	if m == nil {
-		return
+		return r.Result
 	}
 	if r.Load >= 0 {
 		m.others = float64(max(0, r.Load-m.inFlight))
@@ -373,11 +373,12 @@
 	if r.Result == Shed && g.shedForNothing(m, now, c, r) {
 		r.Result = ShedIdle
 	}
-	if r.Result == OK || r.Result == Unreachable || r.Result == ShedIdle {
-		m.countOutcome(now, r.Errored || r.Result != OK)
+	if r.Result == OK || r.Result == Unreachable {
+		m.countOutcome(now, r.Errored || r.Result == Unreachable)
 	}
 	g.learn(m, now, c, r)
 	g.judge(m, now, now.Sub(c.Picked), r.Result)
 	g.updateMean(now)
 	g.forget(c.ID, m)
+	return r.Result
 }
--- a/internal/balance/outlier.go
+++ b/internal/balance/outlier.go
@@ -47,10 +47,9 @@
 }
 
 // shedForNothing reports whether an upstream that refused a request as if for load had
-// slots to spare, by its own word or else by what the entries have there. It is then
-// no reason to take it for full, but one to take it for sick. With two thirds of the
-// upstreams of a service shedding half of their requests so, refusals on the heaviest
-// day fell from 0.035 to 0.031 of all requests (mean of four plays).
+// slots to spare, by its own word or else by what the entries have there. That is no
+// sign of load; and as others would work cold, it is no reason to pass the upstream
+// over either, but to ask it again.
 func (g *Group) shedForNothing(m *member, now time.Time, c Choice, r Report) bool {
 	if c.class == "" {
 		return false
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -20,7 +20,7 @@
 	attempts int
 	priority int
 	body     *replayBody
-	// tried holds the upstreams that the request was sent to.
+	// tried holds the upstreams that the request must not be sent to again.
 	tried []string
 	// failed is the region of the last failed attempt.
 	failed string
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -54,7 +54,6 @@
 			continue
 		}
 		out.Attempts++
-		cl.tried = append(cl.tried, choice.ID)
 		if err == nil && !retryableAnswer(cl, ans, out.Attempts) {
 			c.deliver(w, l, cl, choice, ans, out)
 			return
@@ -62,7 +61,15 @@
 		if err == nil {
 			err = brokenAnswer(ans)
 		}
-		c.done(l, choice, reportFor(ans, err))
+		// One that refused although it is idle is asked again, as the object is cold
+		// elsewhere; the last attempt goes elsewhere. On the heaviest day, on which two
+		// thirds of the upstreams of a service do that, this raised the worth from
+		// 0.800 to 0.802 (mean of four plays), in a fleet of 65 nodes from 0.696 to
+		// 0.702 (one play).
+		result := c.done(l, choice, reportFor(ans, err))
+		if lastLeft := out.Attempts == cl.attempts-1; result != balance.ShedIdle || lastLeft {
+			cl.tried = append(cl.tried, choice.ID)
+		}
 		regions = cl.after(err, choice.Region, regions)
 		cl.outcome = verdict.Join(cl.outcome, err.Verdict)
 		last = err
@@ -123,10 +130,12 @@
 	return r
 }
 
-// done frees an upstream's slot and gives the next in the queue a turn.
-func (c *Carrier) done(l *lane, choice balance.Choice, r balance.Report) {
-	l.group.Done(c.now(), choice, r)
+// done frees an upstream's slot and gives the next in the queue a turn. It returns the
+// result as it counts.
+func (c *Carrier) done(l *lane, choice balance.Choice, r balance.Report) balance.Result {
+	result := l.group.Done(c.now(), choice, r)
 	l.queue.Wake()
+	return result
 }
 
 // deliver sends the answer and frees the slot when it has gone out whole.
