--- /dev/null
+++ b/internal/sim/named.go
@@ -0,0 +1,64 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+)
+
+// Named are the loads by name that each answer one question.
+var Named = map[string]func() *Site{
+	"calm":           func() *Site { return regional(0.4) },
+	"heavy":          func() *Site { return regional(0.75) },
+	"emptied-domain": emptiedDomain,
+	"idle-sheds":     idleSheds,
+	"burst":          burst,
+}
+
+// regional is a deployment of three regions of two failure domains each, one of which
+// has only a fifth of the upstreams of the others. Load is a part of what all slots
+// could bear if all work were warm.
+func regional(load float64) *Site {
+	s := &Site{
+		Name: fmt.Sprint("regional-", load), Between: 20 * time.Millisecond, Within: time.Millisecond, Client: 5 * time.Millisecond,
+		Length: 20 * time.Second,
+	}
+	for _, name := range []string{"east", "north", "west"} {
+		for _, letter := range []string{"a", "b"} {
+			s.Domains = append(s.Domains, Domain{name + "-" + letter, name, 2})
+		}
+	}
+	svc := Service{Name: "catalogue", Upstreams: []int{1, 1, 4, 4, 5, 5}, Slots: 5, Queue: 15, Memory: 50}
+	c := Class{
+		Name: "look-up", Objects: 80, Skew: 0.2, Work: 360 * time.Millisecond, Gain: 0.7, Spread: 0.15,
+		Objective: 250 * time.Millisecond, Timeout: 800 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Late: 0.2,
+	}
+	slots := 0
+	for _, n := range svc.Upstreams {
+		slots += n * svc.Slots
+	}
+	c.Rate = load * float64(slots) / ((1 - c.Gain) * c.Work.Seconds()) / float64(len(s.Domains))
+	s.Services, s.Classes = []Service{svc}, []Class{c}
+	return s
+}
+
+// emptiedDomain empties a failure domain with a quarter of the upstreams, in a region
+// that has twice the capacity that it asks for.
+func emptiedDomain() *Site {
+	s := regional(0.6)
+	s.Events = []Event{{At: 6 * time.Second, For: 10 * time.Second, Kind: Drain, Domain: 4}}
+	return s
+}
+
+// idleSheds has every second upstream refuse half of its requests for no reason.
+func idleSheds() *Site {
+	s := regional(0.5)
+	s.Events = []Event{{At: 6 * time.Second, For: 10 * time.Second, Kind: ShedIdle, Share: 0.5, Factor: 0.5}}
+	return s
+}
+
+// burst has half as many requests again for a while.
+func burst() *Site {
+	s := regional(0.6)
+	s.Events = []Event{{At: 6 * time.Second, For: 6 * time.Second, Kind: Burst, Factor: 1.5}}
+	return s
+}
--- /dev/null
+++ b/internal/sim/play.go
@@ -0,0 +1,416 @@
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// maxAttempts is how many upstreams a request may be sent to after refusals by
+	// others.
+	maxAttempts = 2
+	// waitPart is up to what part of the time that is left callers wait as told before
+	// they come back.
+	waitPart = 1.0 / 3
+	// cutSpread is at how many standard deviations the spread of work is cut.
+	cutSpread = 3.0
+)
+
+// Policy decides for all entries. Its methods are called in the order of time.
+type Policy interface {
+	// Pick returns the upstream for a request at an entry, or whether it is refused
+	// and when it should come back.
+	Pick(now time.Time, entry int, r *Request) Decision
+	// Done tells how the attempt ended.
+	Done(now time.Time, entry int, r *Request, e End)
+	// Tick is called every tickEvery.
+	Tick(now time.Time)
+}
+
+// tickEvery is the time between ticks of a policy.
+const tickEvery = 100 * time.Millisecond
+
+// Decision is what becomes of a request.
+type Decision struct {
+	// Upstream is an index, or -1 if the request is refused.
+	Upstream   int
+	RetryAfter time.Duration
+	// Token is the policy's own, given back to Done.
+	Token any
+}
+
+// End is how an attempt ended.
+type End struct {
+	Token any
+	// Shed is set if the upstream refused it, TimedOut if no answer came in time.
+	Shed, TimedOut bool
+	// Load and Waiting are the requests at the upstream, and those that wait there.
+	Load, Waiting int
+	// RoundTrip is the time to the upstream and back.
+	RoundTrip time.Duration
+}
+
+// Request is one try of a caller.
+type Request struct {
+	Class  int
+	Object uint64
+	// Region is the caller's, as an index of the play's regions.
+	Region int
+	// Tried are the upstreams that refused it.
+	Tried []int
+
+	first    time.Time
+	cold     time.Duration
+	again    bool
+	deadline time.Time
+	timeout  time.Time
+	attempts int
+	// entry is the one that has the request.
+	entry int
+	over  bool
+}
+
+// attempt is a request on its way to, or at, an upstream.
+type attempt struct {
+	*Request
+	token    any
+	upstream int
+	// ended is set once the policy was told how the attempt ended.
+	ended bool
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type agenda []event
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	old := *a
+	e := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return e
+}
+
+// Play is one play of a site. It is not safe for concurrent use.
+type Play struct {
+	site      *Site
+	policy    Policy
+	rnd       *rand.Rand
+	now       time.Time
+	began     time.Time
+	agenda    agenda
+	seq       int
+	upstreams []*upstream
+	entries   []entry
+	regions   []string
+	regionOf  map[string]int
+	drained   []bool
+	burst     float64
+	draws     []*rand.Rand
+	tables    [][]float64
+	result    *Result
+}
+
+// entry is one entry of a failure domain.
+type entry struct {
+	id     string
+	domain int
+}
+
+// epoch is when every play begins.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// New returns a play of a site with a policy, which make is given the play to see.
+func New(site *Site, seed uint64, make func(*Play) Policy) *Play {
+	p := &Play{site: site, rnd: rand.New(rand.NewPCG(seed, 1)), now: epoch, began: epoch, burst: 1, regionOf: map[string]int{}, drained: nil}
+	p.result = newResult(site)
+	for i, d := range site.Domains {
+		if _, ok := p.regionOf[d.Region]; !ok {
+			p.regionOf[d.Region] = len(p.regions)
+			p.regions = append(p.regions, d.Region)
+		}
+		for e := range d.Entries {
+			p.entries = append(p.entries, entry{fmt.Sprintf("e-%s-%d", d.Name, e), i})
+		}
+		p.drained = append(p.drained, false)
+	}
+	for i, s := range site.Services {
+		for d, n := range s.Upstreams {
+			for k := range n {
+				p.upstreams = append(p.upstreams, newUpstream(fmt.Sprintf("u-%s-%s-%d", s.Name, site.Domains[d].Name, k), i, d, s))
+			}
+		}
+	}
+	for _, c := range site.Classes {
+		p.tables = append(p.tables, popularity(c))
+	}
+	p.policy = make(p)
+	return p
+}
+
+// popularity returns the cumulative shares of a class's objects.
+func popularity(c Class) []float64 {
+	out := make([]float64, c.Objects)
+	sum := 0.0
+	for i := range out {
+		sum += math.Pow(float64(i+1), -c.Skew)
+		out[i] = sum
+	}
+	for i := range out {
+		out[i] /= sum
+	}
+	return out
+}
+
+// Run plays to the end and returns what callers got.
+func (p *Play) Run() *Result {
+	for d := range p.site.Domains {
+		for c := range p.site.Classes {
+			p.nextArrival(d, c, rand.New(rand.NewPCG(uint64(d)<<16|uint64(c), p.rnd.Uint64())))
+		}
+	}
+	for _, e := range p.site.Events {
+		p.plan(e)
+	}
+	p.tick()
+	for len(p.agenda) > 0 {
+		e := heap.Pop(&p.agenda).(event)
+		p.now = e.at
+		e.do()
+	}
+	return p.result
+}
+
+func (p *Play) at(t time.Time, do func()) {
+	p.seq++
+	heap.Push(&p.agenda, event{t, p.seq, do})
+}
+
+func (p *Play) after(d time.Duration, do func()) { p.at(p.now.Add(d), do) }
+
+func (p *Play) over() bool { return p.now.Sub(p.began) >= p.site.Length }
+
+func (p *Play) tick() {
+	p.policy.Tick(p.now)
+	if !p.over() {
+		p.after(tickEvery, p.tick)
+	}
+}
+
+// nextArrival plans the next request of a class from a failure domain. Each such
+// stream has a source of its own, so that all policies get the same load.
+func (p *Play) nextArrival(domain, class int, rnd *rand.Rand) {
+	c := &p.site.Classes[class]
+	region := p.regionOf[p.site.Domains[domain].Region]
+	rate := c.Rate * p.burst * p.swing(region)
+	p.after(time.Duration(rnd.ExpFloat64()/rate*float64(time.Second)), func() {
+		if p.over() {
+			return
+		}
+		p.arrive(c, class, region, rnd)
+		p.nextArrival(domain, class, rnd)
+	})
+}
+
+// swing is the part of its mean rate that a region has now.
+func (p *Play) swing(region int) float64 {
+	if p.site.Wave == 0 {
+		return 1
+	}
+	phase := p.now.Sub(p.began).Seconds()/p.site.Period.Seconds() + float64(region)/float64(len(p.regions))
+	return 1 + p.site.Wave*math.Sin(2*math.Pi*phase)
+}
+
+func (p *Play) arrive(c *Class, class, region int, rnd *rand.Rand) {
+	table := p.tables[class]
+	u := rnd.Float64()
+	object := 0
+	for object < len(table)-1 && table[object] < u {
+		object++
+	}
+	spread := math.Max(-cutSpread, math.Min(cutSpread, rnd.NormFloat64())) * c.Spread
+	r := &Request{
+		Class: class, Region: region, first: p.now, deadline: p.now.Add(c.Deadline),
+		Object: uint64(class)<<40 | uint64(region)<<32 | uint64(object),
+		cold:   time.Duration(float64(c.Work) * math.Exp(spread-c.Spread*c.Spread/2)),
+	}
+	p.result.asked(class, p.now)
+	p.send(r, rnd)
+}
+
+// send brings a request to one of the entries of the caller's region.
+func (p *Play) send(r *Request, rnd *rand.Rand) {
+	var near []int
+	for i, e := range p.entries {
+		if p.regionOf[p.site.Domains[e.domain].Region] == r.Region {
+			near = append(near, i)
+		}
+	}
+	r.entry = near[rnd.IntN(len(near))]
+	p.after(p.site.Client, func() {
+		r.timeout = p.now.Add(min(p.site.Classes[r.Class].Timeout, r.deadline.Sub(p.now)))
+		p.decide(r)
+	})
+}
+
+func (p *Play) decide(r *Request) {
+	d := p.policy.Pick(p.now, r.entry, r)
+	if d.Upstream < 0 {
+		p.refuse(r, d.RetryAfter)
+		return
+	}
+	r.attempts++
+	a := &attempt{Request: r, token: d.Token, upstream: d.Upstream}
+	p.after(p.way(a), func() { p.reach(a) })
+	p.at(r.timeout, func() { p.expire(a) })
+}
+
+// way is the one-way latency of an attempt between entry and upstream.
+func (p *Play) way(a *attempt) time.Duration {
+	from, to := p.entries[a.entry].domain, p.upstreams[a.upstream].domain
+	switch {
+	case from == to:
+		return 0
+	case p.site.Domains[from].Region == p.site.Domains[to].Region:
+		return p.site.Within
+	}
+	return p.site.Between
+}
+
+// refuse sends a caller away, who comes back once.
+func (p *Play) refuse(r *Request, retryAfter time.Duration) {
+	p.after(p.site.Client, func() {
+		left := r.deadline.Sub(p.now)
+		if r.again || left <= 0 {
+			p.result.refused(r)
+			return
+		}
+		next := &Request{Class: r.Class, Object: r.Object, Region: r.Region, first: r.first, cold: r.cold, again: true, deadline: r.deadline}
+		pause := min(retryAfter, time.Duration(waitPart*float64(left)))
+		p.after(pause, func() { p.send(next, p.rnd) })
+	})
+}
+
+// reach brings an attempt to its upstream.
+func (p *Play) reach(a *attempt) {
+	u := p.upstreams[a.upstream]
+	if u.sheds > 0 && p.rnd.Float64() < u.sheds || u.running >= u.slots && len(u.queue) >= u.limit {
+		p.after(p.way(a), func() { p.shed(a) })
+		return
+	}
+	if u.running >= u.slots {
+		u.queue = append(u.queue, a)
+		return
+	}
+	p.start(u, a)
+}
+
+func (p *Play) start(u *upstream, a *attempt) {
+	c := &p.site.Classes[a.Class]
+	u.running++
+	p.after(u.work(c, a.Object, a.cold), func() {
+		u.running--
+		u.touch(a.Object)
+		end := End{Token: a.token, Load: u.load(), Waiting: len(u.queue), RoundTrip: 2 * p.way(a)}
+		p.after(p.way(a), func() { p.answer(a, end) })
+		p.startNext(u)
+	})
+}
+
+// startNext takes the next one from the queue that still has somebody waiting for it.
+func (p *Play) startNext(u *upstream) {
+	for len(u.queue) > 0 {
+		next := u.queue[0]
+		u.queue = u.queue[1:]
+		if !next.over {
+			p.start(u, next)
+			return
+		}
+	}
+}
+
+func (p *Play) answer(a *attempt, end End) {
+	if a.ended {
+		return
+	}
+	a.ended, a.over = true, true
+	p.policy.Done(p.now, a.entry, a.Request, end)
+	p.after(p.site.Client, func() { p.result.served(a.Request, p.now) })
+}
+
+func (p *Play) shed(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	u := p.upstreams[a.upstream]
+	p.policy.Done(p.now, a.entry, a.Request, End{Token: a.token, Shed: true, Load: u.load(), Waiting: len(u.queue)})
+	a.Tried = append(a.Tried, a.upstream)
+	if a.attempts >= maxAttempts {
+		a.over = true
+		p.refuse(a.Request, 0)
+		return
+	}
+	p.decide(a.Request)
+}
+
+// expire ends an attempt whose time has run out; what an upstream works on it is lost.
+func (p *Play) expire(a *attempt) {
+	if a.ended {
+		return
+	}
+	a.ended, a.over = true, true
+	p.policy.Done(p.now, a.entry, a.Request, End{Token: a.token, TimedOut: true, Load: -1, Waiting: -1})
+	p.result.failed(a.Request)
+}
+
+// plan has an event begin and end.
+func (p *Play) plan(e Event) {
+	set := func(on bool) {
+		switch e.Kind {
+		case Drain:
+			p.drained[e.Domain] = on
+		case Burst:
+			p.burst = choose(on, e.Factor, 1)
+		case Slow:
+			p.each(e, func(u *upstream) { u.slow = choose(on, e.Factor, 1) })
+		case ShedIdle:
+			p.each(e, func(u *upstream) { u.sheds = choose(on, e.Factor, 0) })
+		}
+	}
+	p.at(p.began.Add(e.At), func() { set(true) })
+	p.at(p.began.Add(e.At+e.For), func() { set(false) })
+}
+
+func choose(on bool, a, b float64) float64 {
+	if on {
+		return a
+	}
+	return b
+}
+
+// each visits the upstreams that an event concerns.
+func (p *Play) each(e Event, visit func(*upstream)) {
+	var of []*upstream
+	for _, u := range p.upstreams {
+		if u.service == e.Service {
+			of = append(of, u)
+		}
+	}
+	step := math.Max(1, 1/e.Share)
+	for x := 0.0; int(x) < len(of); x += step {
+		visit(of[int(x)])
+	}
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,88 @@
+package sim
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+func playOf(s *Site, policy string) *Result { return New(s, 1, Policies[policy]).Run() }
+
+// between sums up the windows of a time.
+func (r *Result) between(from, to time.Duration) Tally {
+	var sum Tally
+	for _, w := range r.Windows[from/windowLength : to/windowLength] {
+		sum = sum.Plus(w)
+	}
+	return sum
+}
+
+func TestPlaysRepeat(t *testing.T) {
+	for seed := range uint64(2) {
+		a := New(Random(seed), seed, Policies["loomkeel"]).Run()
+		b := New(Random(seed), seed, Policies["loomkeel"]).Run()
+		if !reflect.DeepEqual(a, b) {
+			t.Errorf("seed %d: %+v and then %+v", seed, a.Total(), b.Total())
+		}
+	}
+}
+
+// TestEveryRequestEnds checks that all requests are counted once, under all policies.
+func TestEveryRequestEnds(t *testing.T) {
+	for name := range Policies {
+		for seed := range uint64(2) {
+			sum := New(Random(seed), seed, Policies[name]).Run().Total()
+			if ended := sum.InTime + sum.Late + sum.Refused + sum.Failed; ended != sum.Asked || sum.Asked == 0 {
+				t.Errorf("%s, seed %d: %d of %d requests ended", name, seed, ended, sum.Asked)
+			}
+		}
+	}
+}
+
+// TestPoliciesGetTheSameLoad compares what was asked.
+func TestPoliciesGetTheSameLoad(t *testing.T) {
+	want := playOf(Random(7), "loomkeel").Total().Asked
+	for name := range Policies {
+		if got := playOf(Random(7), name).Total().Asked; got != want {
+			t.Errorf("%s was asked %d, loomkeel %d", name, got, want)
+		}
+	}
+}
+
+func TestUpstreamForgetsWhatWasUsedLongestAgo(t *testing.T) {
+	u := newUpstream("u", 0, 0, Service{Memory: 2})
+	for _, object := range []uint64{1, 2, 1, 3} {
+		u.touch(object)
+	}
+	if !u.has(1) || u.has(2) || !u.has(3) {
+		t.Errorf("at hand: 1 %v, 2 %v, 3 %v", u.has(1), u.has(2), u.has(3))
+	}
+}
+
+// TestEmptiedDomain empties half of a region whose other half can hardly bear its load,
+// while another region has slots to spare. Before upstreams that leave were no
+// capacity, 0.877 of the requests of that time were answered within their objective,
+// now 0.934.
+func TestEmptiedDomain(t *testing.T) {
+	during := playOf(Named["emptied-domain"](), "loomkeel").between(8*time.Second, 16*time.Second)
+	if share := float64(during.InTime) / float64(during.Asked); share < 0.91 {
+		t.Errorf("%.3f of the requests answered in time while a domain is empty: %+v", share, during)
+	}
+}
+
+// TestBetterThanSimplePolicies compares with the least loaded upstream and with hashing
+// alone, over random deployments.
+func TestBetterThanSimplePolicies(t *testing.T) {
+	const deployments = 8
+	mean := make(map[string]float64)
+	for seed := range uint64(deployments) {
+		for name := range Policies {
+			mean[name] += New(Random(seed), seed, Policies[name]).Run().Total().Worth() / deployments
+		}
+	}
+	for _, simple := range []string{"least-load", "hash"} {
+		if mean["loomkeel"] < mean[simple]+0.1 {
+			t.Errorf("mean worth %.3f, with %s %.3f", mean["loomkeel"], simple, mean[simple])
+		}
+	}
+}
--- /dev/null
+++ b/test/play/settings.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/loomkeel/loomkeel/internal/sim"
+)
+
+const (
+	// maxDeployments bounds the random deployments of one run; 1,000 take some minutes.
+	maxDeployments = 1000
+	// maxSeed bounds the first seed.
+	maxSeed = 1 << 30
+)
+
+// settings say what is played.
+type settings struct {
+	// Deployments is how many random deployments are played, from FirstSeed on.
+	Deployments int
+	FirstSeed   int
+	Policies    []string
+	// Loads are named loads that are played beside them.
+	Loads []string
+}
+
+// load reads a settings file; without one the defaults hold. Its error has all faults,
+// each with file, key, value and what is allowed.
+func load(path string) (settings, error) {
+	s := settings{Deployments: 40, FirstSeed: 1, Policies: names(sim.Policies), Loads: names(sim.Named)}
+	if path == "" {
+		return s, nil
+	}
+	f, err := ini.Load(path)
+	if err != nil {
+		return s, err
+	}
+	r := reader{path: path, section: f.Section("play")}
+	for _, section := range f.Sections() {
+		if name := section.Name(); name != "play" && len(section.Keys()) > 0 {
+			r.fault("["+name+"]", "", "the section [play]")
+		}
+	}
+	s.Deployments = r.number("deployments", s.Deployments, 0, maxDeployments)
+	s.FirstSeed = r.number("first_seed", s.FirstSeed, 0, maxSeed)
+	s.Policies = r.list("policies", s.Policies, names(sim.Policies))
+	s.Loads = r.list("loads", s.Loads, names(sim.Named))
+	for _, key := range r.section.KeyStrings() {
+		if !slices.Contains(r.known, key) {
+			r.fault(key, r.section.Key(key).String(), "the keys "+strings.Join(r.known, ", "))
+		}
+	}
+	return s, errors.Join(r.faults...)
+}
+
+// reader reads keys and collects their faults.
+type reader struct {
+	path    string
+	section *ini.Section
+	known   []string
+	faults  []error
+}
+
+func (r *reader) fault(key, value, allowed string) {
+	r.faults = append(r.faults, fmt.Errorf("%s: %s = %q; allowed: %s", r.path, key, value, allowed))
+}
+
+func (r *reader) number(key string, otherwise, least, most int) int {
+	r.known = append(r.known, key)
+	if !r.section.HasKey(key) {
+		return otherwise
+	}
+	n, err := r.section.Key(key).Int()
+	if err != nil || n < least || n > most {
+		r.fault(key, r.section.Key(key).String(), fmt.Sprintf("whole numbers from %d to %d", least, most))
+	}
+	return n
+}
+
+func (r *reader) list(key string, otherwise, allowed []string) []string {
+	r.known = append(r.known, key)
+	if !r.section.HasKey(key) {
+		return otherwise
+	}
+	list := r.section.Key(key).Strings(",")
+	for _, name := range list {
+		if !slices.Contains(allowed, name) {
+			r.fault(key, name, strings.Join(allowed, ", "))
+		}
+	}
+	return list
+}
