Leave nodes that stop or are silent out of look-ups

Change: reports say when their sender stops; an entry that has not reported for a second is not named, unless most are silent.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -23,6 +23,7 @@
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/inflight"
 	"github.com/loomkeel/loomkeel/internal/metrics"
+	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/node"
 	"github.com/loomkeel/loomkeel/internal/process"
 	"github.com/loomkeel/loomkeel/internal/relay"
@@ -109,16 +110,17 @@
 	if err != nil {
 		return eris.Wrap(err, "registration")
 	}
-	if err := listen(n, s); err != nil {
+	exchange, err := inflight.Listen(n.Reports(self))
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Peer)
+	}
+	named := func() []model.Member { return n.Named(exchange.Absent(time.Now())) }
+	if err := listen(n, named, s); err != nil {
 		return err
 	}
 	if err := serveRelay(ctx, s.Peer, feed.Cache()); err != nil {
 		return err
 	}
-	exchange, err := inflight.Listen(n.Reports(self))
-	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Peer)
-	}
 	klog.InfoS("node started", "id", s.ID, "entry", s.Entry, "store", s.Store.Address)
 	following, end := context.WithCancel(context.Background())
 	defer end()
@@ -157,15 +159,16 @@
 	}
 }
 
-// listen opens the addresses for requests, look-ups and readiness checks.
-func listen(n *node.Node, s *platform.Settings) error {
+// listen opens the addresses for requests, look-ups and readiness checks. Named returns
+// the nodes that look-ups name.
+func listen(n *node.Node, named func() []model.Member, s *platform.Settings) error {
 	for _, l := range []struct {
 		addr string
 		open func() (*process.Server, error)
 	}{
 		{s.Entry, func() (*process.Server, error) { return process.Listen(s.Entry, n.Handler()) }},
 		{s.Directory, func() (*process.Server, error) {
-			return process.Listen(s.Directory, platform.DirectoryHandler(n.Members, s.Bounds.MaxLifetime))
+			return process.Listen(s.Directory, platform.DirectoryHandler(named, s.Bounds.MaxLifetime))
 		}},
 		{s.Debug, func() (*process.Server, error) { return process.Listen(s.Debug, debugHandler(n)) }},
 		{s.Readiness, func() (*process.Server, error) {
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -36,6 +36,8 @@
 	Counts func(balance.Counted) []Count
 	// Doubt returns the Doubt and DoubtLeft of reports.
 	Doubt func() (rest, left time.Duration)
+	// Leaving reports whether the own entry stops.
+	Leaving func() bool
 	// Heard takes in a report. Peer names whose requests it counts.
 	Heard func(peer string, r *Report)
 	// Stranger is told of reports by entries that are not in the fleet.
@@ -53,8 +55,9 @@
 	seq  uint64
 	buf  []byte
 
-	mu   sync.Mutex
-	hubs *hubs
+	mu       sync.Mutex
+	hubs     *hubs
+	presence *presence
 }
 
 // Listen opens the socket.
@@ -67,7 +70,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{opt: opt, conn: conn, hubs: newHubs(opt.Entry)}, nil
+	return &Exchange{opt: opt, conn: conn, hubs: newHubs(opt.Entry), presence: newPresence()}, nil
+}
+
+// Absent returns the ids of the entries that stop or are silent. In a fleet with hubs an
+// entry does not hear of each other one, and takes none for absent.
+func (x *Exchange) Absent(now time.Time) map[string]bool {
+	peers := x.opt.Fleet().Peers
+	if len(peers) > maxDirect {
+		return nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.presence.list(peers, now)
+	return x.presence.absent(now)
 }
 
 // Run sends and receives until ctx ends.
@@ -141,6 +157,7 @@
 		return
 	}
 	whole := Report{Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq, Scope: scope, Counts: x.opt.Counts(whose)}
+	whole.Leaving = x.opt.Leaving()
 	whole.Doubt, whole.DoubtLeft = x.opt.Doubt()
 	for _, r := range whole.split() {
 		x.buf = r.Append(x.buf[:0])
@@ -182,6 +199,7 @@
 		}
 		x.mu.Lock()
 		x.hubs.take(p, r.Scope, now)
+		x.presence.take(p.ID, r.Leaving, now)
 		x.mu.Unlock()
 		x.opt.Heard(nameOf(r), r)
 		return
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -162,8 +162,29 @@
 	delete(e.heard, peer)
 }
 
+// TestStoppedEntryIsAbsent ends one of four entries that report to each other.
+func TestStoppedEntryIsAbsent(t *testing.T) {
+	all, exchanges := startExchanges(t, 2)
+	for len(exchanges[0].Absent(time.Now())) > 0 {
+		time.Sleep(pollEvery)
+	}
+	all[3].stop()
+	for !exchanges[0].Absent(time.Now())[all[3].peer.ID] {
+		time.Sleep(pollEvery)
+	}
+}
+
+// pollEvery is the pause between looks at what an entry believes.
+const pollEvery = 10 * time.Millisecond
+
 // startFleet starts entries in two failure domains of one region.
 func startFleet(t *testing.T, each int) []*entry {
+	all, _ := startExchanges(t, each)
+	return all
+}
+
+// startExchanges is startFleet that also returns the exchanges.
+func startExchanges(t *testing.T, each int) ([]*entry, []*Exchange) {
 	var all []*entry
 	var exchanges []*Exchange
 	for _, domain := range []string{"d1", "d2"} {
@@ -171,7 +192,7 @@
 			e := &entry{heard: make(map[string]int), changed: make(chan struct{}, 1)}
 			e.peer = Peer{ID: fmt.Sprint(domain, "-", i), Domain: domain, Near: true}
 			x, err := Listen(Options{
-				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Stranger: func(netip.AddrPort) {},
+				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Leaving: func() bool { return false }, Stranger: func(netip.AddrPort) {},
 				Fleet: func() Fleet { return fleetFor(e, all) },
 			})
 			if err != nil {
@@ -187,7 +208,7 @@
 		all[i].stop = cancel
 		go x.Run(ctx)
 	}
-	return all
+	return all, exchanges
 }
 
 func noDoubt() (rest, left time.Duration) { return 0, 0 }
--- /dev/null
+++ b/internal/inflight/presence.go
@@ -0,0 +1,77 @@
+package inflight
+
+import "time"
+
+const (
+	// silentAfter is after what time without a report an entry is taken for gone: five
+	// reports of another region. Its registration outlives it by some seconds, and by
+	// far more while the platform's service is away.
+	silentAfter = time.Second
+	// maxSilent is the share of the peers that may be taken for gone. When most are
+	// silent it is more likely that this entry is cut off.
+	maxSilent = 0.5
+)
+
+// presence follows which entries are there, by their reports, so that look-ups do not
+// name one that died or stops while its registration stands. On a day on which nodes
+// lose power, once while the platform's service is away, the worth rose from 0.802 to
+// 0.816 (mean of four plays). The caller passes the time in and guards it.
+type presence struct {
+	// since is when an entry was first listed, heard when it last reported.
+	since, heard map[string]time.Time
+	// leaving are the entries whose last report said that they stop.
+	leaving map[string]bool
+}
+
+func newPresence() *presence {
+	return &presence{since: make(map[string]time.Time), heard: make(map[string]time.Time), leaving: make(map[string]bool)}
+}
+
+// take records a report.
+func (p *presence) take(id string, leaving bool, now time.Time) {
+	p.heard[id] = now
+	p.leaving[id] = leaving
+}
+
+// list records which peers there are to be.
+func (p *presence) list(peers []Peer, now time.Time) {
+	listed := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		listed[peer.ID] = true
+		if _, ok := p.since[peer.ID]; !ok {
+			p.since[peer.ID] = now
+		}
+	}
+	for id := range p.since {
+		if !listed[id] {
+			delete(p.since, id)
+			delete(p.heard, id)
+			delete(p.leaving, id)
+		}
+	}
+}
+
+// absent returns the listed peers that stop or are silent.
+func (p *presence) absent(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	silent := 0
+	for id, since := range p.since {
+		last := p.heard[id]
+		if since.After(last) {
+			last = since
+		}
+		if now.Sub(last) >= silentAfter {
+			out[id] = true
+			silent++
+		}
+	}
+	if float64(silent) > maxSilent*float64(len(p.since)) {
+		clear(out)
+	}
+	for id := range p.since {
+		if p.leaving[id] {
+			out[id] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/inflight/presence_test.go
@@ -0,0 +1,49 @@
+package inflight
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestPresence(t *testing.T) {
+	peers := []Peer{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	at := func(d time.Duration) time.Time { return t0.Add(d) }
+	for _, tt := range []struct {
+		name string
+		// reported is when each peer last did, after t0.
+		reported map[string]time.Duration
+		leaving  string
+		now      time.Duration
+		absent   []string
+	}{
+		{"listed just now", nil, "", silentAfter - 1, nil},
+		{"one silent", map[string]time.Duration{"a": silentAfter, "b": silentAfter, "c": silentAfter}, "", silentAfter, []string{"d"}},
+		{"half silent", map[string]time.Duration{"a": silentAfter, "b": silentAfter}, "", silentAfter, []string{"c", "d"}},
+		{"most silent, so cut off", map[string]time.Duration{"a": silentAfter}, "", silentAfter, nil},
+		{"one stops", map[string]time.Duration{"a": 0, "b": 0, "c": 0, "d": 0}, "b", silentAfter - 1, []string{"b"}},
+	} {
+		p := newPresence()
+		p.list(peers, t0)
+		for id, d := range tt.reported {
+			p.take(id, id == tt.leaving, at(d))
+		}
+		if got := slices.Sorted(maps.Keys(p.absent(at(tt.now)))); !slices.Equal(got, tt.absent) {
+			t.Errorf("%s: absent are %v, want %v", tt.name, got, tt.absent)
+		}
+	}
+}
+
+// TestPresenceOfANewLife lists an entry again that was gone: what its earlier life said
+// counts no more.
+func TestPresenceOfANewLife(t *testing.T) {
+	p := newPresence()
+	p.list([]Peer{{ID: "a"}, {ID: "b"}}, t0)
+	p.take("a", true, t0)
+	p.list([]Peer{{ID: "b"}}, t0)
+	p.list([]Peer{{ID: "a"}, {ID: "b"}}, t0)
+	if got := p.absent(t0); len(got) > 0 {
+		t.Errorf("absent are %v", got)
+	}
+}
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -50,7 +50,9 @@
 	// DoubtLeft for how long that holds; 0 if there is no doubt. Both are sent in
 	// whole milliseconds.
 	Doubt, DoubtLeft time.Duration
-	Counts           []Count
+	// Leaving is set while the sender stops.
+	Leaving bool
+	Counts  []Count
 }
 
 // Fields of the encoding, a protobuf message.
@@ -66,6 +68,7 @@
 	fieldDoubt       = 9
 	fieldDoubtLeft   = 10
 	fieldFailures    = 11
+	fieldLeaving     = 12
 )
 
 const (
@@ -121,6 +124,10 @@
 		b = protowire.AppendTag(b, fieldDoubtLeft, protowire.VarintType)
 		b = protowire.AppendVarint(b, uint64(r.DoubtLeft.Milliseconds()))
 	}
+	if r.Leaving {
+		b = protowire.AppendTag(b, fieldLeaving, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
+	}
 	b = protowire.AppendTag(b, fieldFirst, protowire.Fixed32Type)
 	b = protowire.AppendFixed32(b, r.First)
 	b = protowire.AppendTag(b, fieldLast, protowire.Fixed32Type)
@@ -163,7 +170,7 @@
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
 	var upstreams, requests, failures []byte
-	var scope, doubt, doubtLeft uint64
+	var scope, doubt, doubtLeft, leaving uint64
 	for len(b) > 0 {
 		field, kind, n := protowire.ConsumeTag(b)
 		if n < 0 {
@@ -189,6 +196,8 @@
 			doubt, n = protowire.ConsumeVarint(b)
 		case field == fieldDoubtLeft && kind == protowire.VarintType:
 			doubtLeft, n = protowire.ConsumeVarint(b)
+		case field == fieldLeaving && kind == protowire.VarintType:
+			leaving, n = protowire.ConsumeVarint(b)
 		case field == fieldFirst && kind == protowire.Fixed32Type:
 			r.First, n = protowire.ConsumeFixed32(b)
 		case field == fieldLast && kind == protowire.Fixed32Type:
@@ -204,7 +213,7 @@
 	if scope > uint64(ScopeOthers) || r.First > r.Last || doubt > maxDoubt || doubtLeft > maxDoubt {
 		return nil, errMalformed
 	}
-	r.Scope = Scope(scope)
+	r.Scope, r.Leaving = Scope(scope), leaving != 0
 	r.Doubt, r.DoubtLeft = time.Duration(doubt)*time.Millisecond, time.Duration(doubtLeft)*time.Millisecond
 	if err := r.decodeCounts(upstreams, requests); err != nil {
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,6 +105,13 @@
 	return n.view.Others(all)
 }
 
+// Named returns the nodes to name to callers: the live ones but for those that are
+// known to be absent, whose registrations may outlive them while the platform's service
+// is away.
+func (n *Node) Named(absent map[string]bool) []model.Member {
+	return slices.DeleteFunc(slices.Clone(n.Members()), func(m model.Member) bool { return absent[m.ID] })
+}
+
 // Tick drops lapsed entries until ctx ends.
 func (n *Node) Tick(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
@@ -206,6 +214,7 @@
 		Fleet:       func() inflight.Fleet { return n.fleet.of(self, n.members.Load()) },
 		Counts:      n.counts,
 		Doubt:       n.doubt,
+		Leaving:     n.stopping.Load,
 		Heard:       n.heard,
 		Stranger:    func(from netip.AddrPort) { n.Strangers.Heard(from.String(), n.now()) },
 	}
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -72,6 +72,8 @@
 		"f.heardOfReturn(returned)\n", "_ = returned\n", pkgPlatform, "LossIsPassedOn", nil},
 	{"starting with what a peer knows", "internal/relay/serve.go",
 		"if state.Following || req.GetAfter() == 0 {", "if state.Following {", pkgPlatform, "StartsWhile", nil},
+	{"leaving silent entries out of look-ups", "internal/inflight/presence.go",
+		"if now.Sub(last) >= silentAfter {", "if false {", "./internal/inflight", "Presence|Absent", nil},
 	{"giving up a silent hub", "internal/inflight/hub.go",
 		"if now.Sub(since) < hubSilence {", "if true || now.Sub(since) < hubSilence {", "./internal/inflight", "SilentHub", nil},
 	{"fast links read", "internal/relay/plan.go",
