End a doubt of rested connections though entries tell it each other

Cause: a doubt is told with the time that it has left, so that the way lengthens it at every exchange; between regions 120 ms apart 8 s never ended (found when the code was last read; the new test shows both entries still in doubt). Change: what a peer tells makes the own doubt longer only by more than a second, also when that has just ended. Also: a hash that only a test used.

--- a/internal/balance/affinity_test.go
+++ b/internal/balance/affinity_test.go
@@ -203,7 +203,7 @@
 		object++
 		first = serve(t, g, t0, object, 300*time.Millisecond)
 	}
-	full := map[uint32]Load{HashID(first.ID): {Requests: 6}}
+	full := map[uint32]Load{uint32(g.byID[first.ID].hash): {Requests: 6}}
 	g.Heard(t0, PeerLoad{Peer: "peer", Last: math.MaxUint32, At: full})
 	if c := serve(t, g, t0, object, 0); c.ID == first.ID {
 		t.Error("sent to an upstream that a peer has filled")
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -1,13 +1,6 @@
 package balance
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-// HashID returns the hash by which entries name an upstream to each other.
-func HashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+import "time"
 
 // Counted says whose requests are asked for.
 type Counted struct {
--- a/internal/forward/rest.go
+++ b/internal/forward/rest.go
@@ -12,6 +12,11 @@
 	doubtFor = 8 * time.Second
 	// doubtShare is the part of a rest that broke up to which rests are trusted.
 	doubtShare = 0.5
+	// echoSlack is by how much longer a doubt that a peer tells must hold to make the
+	// own one hold longer. It is told with the time that it has left, so that the way
+	// lengthens it: without slack two entries 120 ms apart went on telling each other a
+	// doubt of 8 s for ever. Reports take a third of a second at most.
+	echoSlack = time.Second
 	// promptShare and promptSlack say within what time of the request an upstream
 	// resets a connection that it has forgotten: the way there and back, which is about
 	// what the connection took to be made, and a little. One that breaks later was
@@ -44,23 +49,30 @@
 
 // broke records that a connection broke that had rested for a time.
 func (r *rests) broke(rest time.Duration, now time.Time) {
-	r.heard(Doubt{time.Duration(doubtShare * float64(rest)), now.Add(doubtFor)}, now)
+	r.take(Doubt{time.Duration(doubtShare * float64(rest)), now.Add(doubtFor)}, 0, now)
 }
 
-// heard takes in a doubt. Of two that hold the shorter rest counts, for as long as the
-// later one holds.
-func (r *rests) heard(d Doubt, now time.Time) {
+// heard takes in a doubt that a peer told.
+func (r *rests) heard(d Doubt, now time.Time) { r.take(d, echoSlack, now) }
+
+// take takes in a doubt. Of two that hold the shorter rest counts, for as long as the
+// later one holds, if that is later by more than a slack.
+func (r *rests) take(d Doubt, slack time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case !now.Before(d.Until):
-	case !now.Before(r.doubt.Until):
-		r.doubt = d
-	default:
-		r.doubt.Rest = min(r.doubt.Rest, d.Rest)
-		if d.Until.After(r.doubt.Until) {
-			r.doubt.Until = d.Until
+	if !now.Before(d.Until) {
+		return
+	}
+	longer := d.Until.Sub(r.doubt.Until) > slack
+	if ended := !now.Before(r.doubt.Until); ended {
+		if longer {
+			r.doubt = d
 		}
+		return
+	}
+	r.doubt.Rest = min(r.doubt.Rest, d.Rest)
+	if longer {
+		r.doubt.Until = d.Until
 	}
 }
 
--- a/internal/forward/rest_test.go
+++ b/internal/forward/rest_test.go
@@ -33,6 +33,31 @@
 	expect(time.Second+doubtFor, 0, 0)
 }
 
+// TestDoubtEndsThoughItIsTold has two entries tell each other a doubt with a delay. It
+// must end at both soon after the time that it was to hold.
+func TestDoubtEndsThoughItIsTold(t *testing.T) {
+	const way, period = 120 * time.Millisecond, 200 * time.Millisecond
+	t0 := time.Unix(1_800_000_000, 0)
+	var a, b rests
+	a.broke(400*time.Millisecond, t0)
+	tell := func(from, to *rests, now time.Time) {
+		if d := from.current(now); !d.Until.IsZero() {
+			left := d.Until.Sub(now)
+			to.heard(Doubt{d.Rest, now.Add(way + left)}, now.Add(way))
+		}
+	}
+	end := t0.Add(doubtFor + 2*echoSlack)
+	for now := t0; now.Before(end); now = now.Add(period) {
+		tell(&a, &b, now)
+		tell(&b, &a, now.Add(way))
+	}
+	for name, r := range map[string]*rests{"a": &a, "b": &b} {
+		if d := r.current(end); !d.Until.IsZero() {
+			t.Errorf("%s still doubts rests over %v, until %v after the end", name, d.Rest, d.Until.Sub(end))
+		}
+	}
+}
+
 // A warm upstream that loses an answer breaks its connection later than one that has
 // forgotten it, wherever it stands.
 func TestPromptly(t *testing.T) {
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -14,7 +14,7 @@
 
 // Count is what entries have at an upstream.
 type Count struct {
-	// Upstream is the hash of the upstream's id; see balance.HashID.
+	// Upstream is the hash of the upstream's id, as balance.Group.LoadAt gives it.
 	Upstream uint32
 	// Requests are under way.
 	Requests int
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -58,6 +58,8 @@
 		"result != balance.ShedIdle || lastLeft {", "true || lastLeft {", pkgForward, "IdleShed", nil},
 	{"lost answers are no failures of their upstream", "internal/balance/group.go",
 		"m.countOutcome(now, r.Errored || r.Result == Unreachable)", "m.countOutcome(now, r.Errored || r.Result == Unreachable)\n\t}\n\tif r.Result == Failed {\n\t\tm.countOutcome(now, true)", pkgBalance, "LostAnswers", nil},
+	{"a doubt does not grow by being told", "internal/forward/rest.go",
+		"r.take(d, echoSlack, now)", "r.take(d, 0, now)", pkgForward, "DoubtEnds", nil},
 	{"doubt of connections that rested", "internal/forward/pool.go",
 		"if d.Until.IsZero() || !isOnce(ctx) {", "if true || d.Until.IsZero() || !isOnce(ctx) {", pkgForward, "Forgotten", nil},
 	{"retry budget", "internal/forward/serve.go",
