Do not take the store for lost because a reader is cut off

The reader of a failure domain was cut off; its followers took the store for lost, heard from the reader of another domain half a second later, and counted that as the return of the store, after which entries that go are kept for 2.2 s; asking the cut reader again 3 s later began it anew. Change: a peer that follows the store vouches for it without a return; whether there was one the peer tells, as before. The new test fails without it (upstream kept).

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -214,6 +214,10 @@
 	v.lost = false
 }
 
+// ServiceVouched records that another node, which follows the key-value service, says
+// that it is there.
+func (v *View) ServiceVouched() { v.lost = false }
+
 // ServiceReturned records when the key-value service came back after it was away,
 // though this node need not have noticed.
 func (v *View) ServiceReturned(at time.Time) {
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -68,6 +68,8 @@
 		"return req.Regions == nil || req.Regions(m.Region)", "return true", pkgBalance, "OnlyAllowed", nil},
 	{"one reader a failure domain", "internal/relay/plan.go",
 		"if own.ID == self.ID {", "if true || own.ID == self.ID {", pkgPlatform, "OneNodeReads", nil},
+	{"a reader that is cut off is no loss of the store", "platform/feed.go",
+		"v.ServiceVouched() })", "v.ServiceReached(time.Now()) })", pkgPlatform, "CutReader", nil},
 	{"changes wait for others", "platform/feed.go",
 		"wait.For(ctx, settle)", "wait.For(ctx, 0)", pkgPlatform, "InBulk", nil},
 	{"passing on that the store was away", "platform/feed.go",
