--- /dev/null
+++ b/internal/sim/loomkeel.go
@@ -0,0 +1,134 @@
+package sim
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+// loomkeel is the product's own policy: a balance.Group for each entry and service,
+// which hear of each other with a delay.
+type loomkeel struct {
+	play   *Play
+	groups [][]*balance.Group
+	index  map[string]int
+	ticks  int
+	// drained are the failure domains as the groups last heard of them.
+	drained  []bool
+	services []*model.Service
+	members  []model.Member
+}
+
+func newLoomkeel(p *Play) Policy {
+	l := &loomkeel{play: p, index: make(map[string]int), drained: slices.Clone(p.drained)}
+	for _, s := range p.site.Services {
+		l.services = append(l.services, &model.Service{Name: s.Name, Routed: true})
+	}
+	for i, u := range p.upstreams {
+		d := p.site.Domains[u.domain]
+		l.index[u.id] = i
+		svc := l.services[u.service]
+		svc.Upstreams = append(svc.Upstreams, model.Upstream{ID: u.id, Service: svc.Name, Region: d.Region, Domain: d.Name, Slots: u.slots})
+	}
+	for _, e := range p.entries {
+		d := p.site.Domains[e.domain]
+		l.members = append(l.members, model.Member{ID: e.id, Region: d.Region, Domain: d.Name, State: membership.Alive})
+	}
+	for range p.entries {
+		groups := make([]*balance.Group, len(l.services))
+		for i := range groups {
+			groups[i] = balance.NewGroup()
+		}
+		l.groups = append(l.groups, groups)
+	}
+	l.update(p.now)
+	return l
+}
+
+// update gives all groups what an operator's order changed.
+func (l *loomkeel) update(now time.Time) {
+	drained := slices.Clone(l.drained)
+	names := make(map[string]int)
+	for i, d := range l.play.site.Domains {
+		names[d.Name] = i
+	}
+	for i, groups := range l.groups {
+		self := l.members[i]
+		for s, g := range groups {
+			g.Update(balance.Input{
+				Service: l.services[s], Self: self.ID, Home: self.Region, Domain: self.Domain, Entries: l.members,
+				Draining: func(u *model.Upstream, _ time.Time) bool { return drained[names[u.Domain]] },
+			}, now)
+		}
+	}
+}
+
+// Pick implements Policy.
+func (l *loomkeel) Pick(now time.Time, entry int, r *Request) Decision {
+	c := &l.play.site.Classes[r.Class]
+	var tried []string
+	for _, u := range r.Tried {
+		tried = append(tried, l.play.upstreams[u].id)
+	}
+	choice, err := l.groups[entry][c.Service].PickObject(now, balance.ObjectRequest{
+		Object: balance.HashObject(c.Name, fmt.Sprint(r.Object)), Class: c.Name, Objective: c.Objective, Tried: tried,
+	})
+	if err == nil {
+		return Decision{Upstream: l.index[choice.ID], Token: choice}
+	}
+	d := Decision{Upstream: -1}
+	var late *balance.LateError
+	if errors.As(err, &late) {
+		d.RetryAfter = late.RetryAfter
+	}
+	return d
+}
+
+// Done implements Policy.
+func (l *loomkeel) Done(now time.Time, entry int, r *Request, e End) {
+	report := balance.Report{Result: balance.OK, Load: e.Load, Waiting: e.Waiting, Connect: e.RoundTrip}
+	switch {
+	case e.TimedOut:
+		report.Result = balance.Failed
+	case e.Shed:
+		report.Result = balance.Shed
+	}
+	l.groups[entry][l.play.site.Classes[r.Class].Service].Done(now, e.Token.(balance.Choice), report)
+}
+
+// Tick implements Policy: entries of a region tell each other each time, others every
+// second time, and hear of it after the way.
+func (l *loomkeel) Tick(now time.Time) {
+	l.ticks++
+	if !slices.Equal(l.drained, l.play.drained) {
+		copy(l.drained, l.play.drained)
+		l.update(now)
+	}
+	for i, groups := range l.groups {
+		for s, g := range groups {
+			load := balance.PeerLoad{Peer: l.members[i].ID, Last: math.MaxUint32, At: make(map[uint32]balance.Load)}
+			g.LoadAt(now, balance.Counted{Own: true}, func(u uint32, n balance.Load) { load.At[u] = n })
+			l.tell(i, s, load)
+		}
+	}
+}
+
+func (l *loomkeel) tell(from, service int, load balance.PeerLoad) {
+	for to := range l.groups {
+		near := l.members[to].Region == l.members[from].Region
+		if to == from || !near && l.ticks%2 == 0 {
+			continue
+		}
+		way := l.play.site.Within
+		if !near {
+			way = l.play.site.Between
+		}
+		l.play.after(way, func() { l.groups[to][service].Heard(l.play.now, load) })
+	}
+}
--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -70,7 +70,8 @@
 	attempts int
 	// entry is the one that has the request.
 	entry int
-	over  bool
+	// over is set once nobody waits for the answer any more.
+	over bool
 }
 
 // attempt is a request on its way to, or at, an upstream.
@@ -116,11 +117,12 @@
 	entries   []entry
 	regions   []string
 	regionOf  map[string]int
-	drained   []bool
-	burst     float64
-	draws     []*rand.Rand
-	tables    [][]float64
-	result    *Result
+	// drained are the failure domains that are out of use, burst multiplies the load.
+	drained []bool
+	burst   float64
+	// popularity has the cumulative shares of the objects of each class.
+	popularity [][]float64
+	result     *Result
 }
 
 // entry is one entry of a failure domain.
@@ -132,10 +134,24 @@
 // epoch is when every play begins.
 var epoch = time.Unix(1_700_000_000, 0)
 
-// New returns a play of a site with a policy, which make is given the play to see.
-func New(site *Site, seed uint64, make func(*Play) Policy) *Play {
-	p := &Play{site: site, rnd: rand.New(rand.NewPCG(seed, 1)), now: epoch, began: epoch, burst: 1, regionOf: map[string]int{}, drained: nil}
-	p.result = newResult(site)
+// New returns a play of a site under the policy that newPolicy returns.
+func New(site *Site, seed uint64, newPolicy func(*Play) Policy) *Play {
+	p := &Play{
+		site: site, rnd: rand.New(rand.NewPCG(seed, 1)), now: epoch, began: epoch, burst: 1,
+		regionOf: make(map[string]int), result: newResult(site),
+	}
+	p.addEntries()
+	p.addUpstreams()
+	for _, c := range site.Classes {
+		p.popularity = append(p.popularity, popularity(c))
+	}
+	p.policy = newPolicy(p)
+	return p
+}
+
+// addEntries sets up the failure domains with their entries.
+func (p *Play) addEntries() {
+	site := p.site
 	for i, d := range site.Domains {
 		if _, ok := p.regionOf[d.Region]; !ok {
 			p.regionOf[d.Region] = len(p.regions)
@@ -146,18 +162,17 @@
 		}
 		p.drained = append(p.drained, false)
 	}
-	for i, s := range site.Services {
+}
+
+func (p *Play) addUpstreams() {
+	for i, s := range p.site.Services {
 		for d, n := range s.Upstreams {
 			for k := range n {
-				p.upstreams = append(p.upstreams, newUpstream(fmt.Sprintf("u-%s-%s-%d", s.Name, site.Domains[d].Name, k), i, d, s))
+				id := fmt.Sprintf("u-%s-%s-%d", s.Name, p.site.Domains[d].Name, k)
+				p.upstreams = append(p.upstreams, newUpstream(id, i, d, s))
 			}
 		}
 	}
-	for _, c := range site.Classes {
-		p.tables = append(p.tables, popularity(c))
-	}
-	p.policy = make(p)
-	return p
 }
 
 // popularity returns the cumulative shares of a class's objects.
@@ -234,12 +249,7 @@
 }
 
 func (p *Play) arrive(c *Class, class, region int, rnd *rand.Rand) {
-	table := p.tables[class]
-	u := rnd.Float64()
-	object := 0
-	for object < len(table)-1 && table[object] < u {
-		object++
-	}
+	object := drawObject(p.popularity[class], rnd.Float64())
 	spread := math.Max(-cutSpread, math.Min(cutSpread, rnd.NormFloat64())) * c.Spread
 	r := &Request{
 		Class: class, Region: region, first: p.now, deadline: p.now.Add(c.Deadline),
@@ -250,6 +260,15 @@
 	p.send(r, rnd)
 }
 
+// drawObject returns the object at a point of the cumulative shares.
+func drawObject(shares []float64, at float64) int {
+	object := 0
+	for object < len(shares)-1 && shares[object] < at {
+		object++
+	}
+	return object
+}
+
 // send brings a request to one of the entries of the caller's region.
 func (p *Play) send(r *Request, rnd *rand.Rand) {
 	var near []int
