Let nodes that the store does not answer ask all readers, and the store last

Ruled out: that nobody knew (seven nodes followed the store all the time). Change: while the own renewals fail a node asks its reader, the readers of all other failure domains (8 at most), two neighbours, and the store last.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -13,6 +13,11 @@
 	// maxRemote is how many readers of other failure domains are asked before the
 	// service itself is.
 	maxRemote = 2
+	// maxCutOff and maxNeighbours are how many readers of other failure domains, and
+	// members of the own one, are asked by an entry that the service does not answer.
+	// With 2 readers alone, three cut entries of eleven heard nothing for 12 s.
+	maxCutOff     = 8
+	maxNeighbours = 2
 	// avoidFor is how long a source that failed is passed over. The members that
 	// an entry knows need some seconds to show that one is gone.
 	avoidFor = 3 * time.Second
@@ -31,18 +36,43 @@
 // Plan returns whom an entry follows, the best first. Members may contain the
 // entry itself.
 func Plan(self model.Member, members []model.Member) []Source {
+	byDomain := group(self, members)
+	own := reader(self.Domain, byDomain[self.Domain])
+	remote := remoteReaders(self, byDomain, maxRemote)
+	if own.ID == self.ID {
+		return append([]Source{Service}, remote...)
+	}
+	return append(append([]Source{sourceOf(own)}, remote...), Service)
+}
+
+// PlanCutOff returns whom an entry follows that the service does not answer, the best
+// first: its reader, the readers of other failure domains, members of its own one, which
+// read the service if their reader is cut off too, and the service last.
+func PlanCutOff(self model.Member, members []model.Member) []Source {
+	byDomain := group(self, members)
+	var out []Source
+	own := Order(self.Domain, byDomain[self.Domain])
+	if own[0].ID != self.ID {
+		out = append(out, sourceOf(own[0]))
+	}
+	out = append(out, remoteReaders(self, byDomain, maxCutOff)...)
+	for _, m := range own[1:min(1+maxNeighbours, len(own))] {
+		if m.ID != self.ID {
+			out = append(out, sourceOf(m))
+		}
+	}
+	return append(out, Service)
+}
+
+// group returns the live members by failure domain, the entry itself among them.
+func group(self model.Member, members []model.Member) map[string][]model.Member {
 	byDomain := map[string][]model.Member{self.Domain: {self}}
 	for _, m := range members {
 		if m.ID != self.ID && m.Live() && m.Agent != "" {
 			byDomain[m.Domain] = append(byDomain[m.Domain], m)
 		}
 	}
-	own := reader(self.Domain, byDomain[self.Domain])
-	remote := remoteReaders(self, byDomain)
-	if own.ID == self.ID {
-		return append([]Source{Service}, remote...)
-	}
-	return append(append([]Source{sourceOf(own)}, remote...), Service)
+	return byDomain
 }
 
 // Order returns the members of a failure domain in the order in which they do the
@@ -66,9 +96,9 @@
 // reader returns the member that follows the service for a failure domain.
 func reader(domain string, members []model.Member) model.Member { return Order(domain, members)[0] }
 
-// remoteReaders returns some readers of other failure domains, those of the own
+// remoteReaders returns at most so many readers of other failure domains, those of the own
 // region first. Entries spread over them by their ids.
-func remoteReaders(self model.Member, byDomain map[string][]model.Member) []Source {
+func remoteReaders(self model.Member, byDomain map[string][]model.Member, most int) []Source {
 	var near, far []string
 	for domain, members := range byDomain {
 		switch {
@@ -81,7 +111,7 @@
 	}
 	order := append(fanout.Order(self.ID, near), fanout.Order(self.ID, far)...)
 	var out []Source
-	for _, domain := range order[:min(maxRemote, len(order))] {
+	for _, domain := range order[:min(most, len(order))] {
 		out = append(out, sourceOf(reader(domain, byDomain[domain])))
 	}
 	return out
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+// TestCutOffAllReadersAreAsked has an entry that the service does not answer. Whoever is
+// cut off with it, it must come to ask one that is not, and the service last.
+func TestCutOffAllReadersAreAsked(t *testing.T) {
+	all := fleet(5)
+	for _, m := range all {
+		plan := PlanCutOff(m, all)
+		asked := make(map[string]int)
+		for _, s := range plan[:len(plan)-1] {
+			if s.ID == m.ID || s == Service {
+				t.Errorf("%s asks itself or the service first: %v", m.ID, plan)
+			}
+			asked[s.ID[:2]]++
+		}
+		if plan[len(plan)-1] != Service {
+			t.Errorf("%s does not ask the service last: %v", m.ID, plan)
+		}
+		for _, domain := range []string{"m1", "m2", "s1", "s2"} {
+			if asked[domain] == 0 {
+				t.Errorf("%s asks nobody of %s: %v", m.ID, domain, plan)
+			}
+		}
+	}
+}
+
 func TestAloneTheServiceIsRead(t *testing.T) {
 	m := fleet(1)[0]
 	if plan := Plan(m, nil); len(plan) != 1 || plan[0] != Service {
