--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -60,7 +60,7 @@
 	if best == nil {
 		return Choice{}, g.full(now, req, ranked)
 	}
-	c := Choice{Upstream: best.Upstream, Picked: now, Rank: rank, class: req.Class, object: req.Object}
+	c := Choice{Upstream: best.Upstream, Picked: now, Rank: rank, class: req.Class, object: req.Object, to: best}
 	c.Warm = best.warmFor(req.Object, now)
 	c.Ahead = g.estimate(best, now)
 	c.Expected = g.expected(best, now, req, rank)
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -80,10 +80,14 @@
 	// owned is set if the entry is the one that uses the upstream first.
 	owned bool
 	gone  bool
+	// restarted is set if the upstream has started again since, with a state of its own.
+	restarted bool
 
 	// hash and weight order the upstreams of an object; see place.
 	hash   uint64
 	weight float64
+	// key names the upstream in reports of entries.
+	key uint32
 	// served is when objects were last served, as far as this entry knows.
 	served map[uint64]time.Time
 	// byPeer is how many requests each peer has at the upstream, atPeers their sum.
@@ -160,8 +164,9 @@
 }
 
 // Update takes in a new snapshot of the service. Upstreams that were not in the
-// one before are cold, unless it is the first.
-func (g *Group) Update(in Input, now time.Time) {
+// one before are cold, unless it is the first, and so are those that have started again:
+// nothing that was known of the earlier life holds. It returns the addresses of these.
+func (g *Group) Update(in Input, now time.Time) (restarted []string) {
 	svc := in.Service
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,8 +178,13 @@
 	for _, u := range svc.Upstreams {
 		seen[u.ID] = true
 		m := g.byID[u.ID]
+		if m != nil && u.RestartOf(&m.Upstream) {
+			m.restarted = true
+			restarted = append(restarted, m.Address)
+			m = nil
+		}
 		if m == nil {
-			m = &member{hash: xxhash.Sum64String(u.ID)}
+			m = &member{hash: xxhash.Sum64String(u.ID), key: reportKey(&u)}
 			if !first {
 				m.coldSince = now
 			}
@@ -191,6 +201,7 @@
 		}
 	}
 	g.weigh(now, in.Home, demandByRegion(in.Entries))
+	return restarted
 }
 
 // forget drops an upstream that is gone once its last request has ended.
@@ -230,6 +241,9 @@
 	object uint64
 	// unqueued is set if the request should have got a slot at once.
 	unqueued bool
+	// to is the upstream's state when it was picked, that of an earlier life if it has
+	// started again since.
+	to *member
 }
 
 // Pick chooses an upstream and takes one of its slots.
@@ -246,7 +260,7 @@
 		if m := g.choose(candidates, now, rnd); m != nil {
 			m.inFlight++
 			g.inFlight[region]++
-			return Choice{Upstream: m.Upstream, Picked: now}, nil
+			return Choice{Upstream: m.Upstream, Picked: now, to: m}, nil
 		}
 	}
 	if usable {
@@ -355,8 +369,9 @@
 func (g *Group) Done(now time.Time, c Choice, r Report) Result {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.byID[c.ID]
-	if m == nil {
+	m := c.to
+	if m.restarted {
+		g.inFlight[c.Region]--
 		return r.Result
 	}
 	if r.Load >= 0 {
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -1,6 +1,22 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+// reportKey names a life of an upstream in reports, so that what peers tell of an earlier
+// one is not taken for news of it.
+func reportKey(u *model.Upstream) uint32 {
+	id := xxhash.Sum64String(u.ID)
+	if u.Born == 0 {
+		return uint32(id)
+	}
+	return uint32(mix(id ^ uint64(u.Born)))
+}
 
 // Counted says whose requests are asked for.
 type Counted struct {
@@ -25,7 +41,7 @@
 	for _, m := range g.all {
 		l := Load{Requests: m.count(whose), Outcomes: m.countedOutcomes(whose, now)}
 		if l.Requests > 0 || l.Failed > 0 {
-			visit(uint32(m.hash), l)
+			visit(m.key, l)
 		}
 	}
 }
@@ -60,7 +76,7 @@
 	defer g.mu.Unlock()
 	g.heard[p.Peer] = now
 	for _, m := range g.all {
-		h := uint32(m.hash)
+		h := m.key
 		if h < p.First || h > p.Last {
 			continue
 		}
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/loomkeel/loomkeel/internal/admit"
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/model"
@@ -139,10 +141,11 @@
 	for name, svc := range s.Services {
 		l := c.lane(name)
 		owned := balance.Owned(svc.Upstreams, s.Region, c.opt.Self, entries)
-		l.group.Update(balance.Input{
+		restarted := l.group.Update(balance.Input{
 			Service: svc, Draining: s.Draining, Owned: owned,
 			Self: c.opt.Self, Home: s.Region, Domain: c.opt.Domain, Entries: s.Members,
 		}, now)
+		c.forget(restarted)
 		if svc.Routed {
 			l.budget.SetBurst(svc.RetryBurst)
 		}
@@ -151,6 +154,21 @@
 	c.snap.Store(s)
 }
 
+// forgetter is a transport that keeps connections which it can give up.
+type forgetter interface{ Forget(addr string) }
+
+// forget gives up the kept connections to addresses whose upstreams have started again.
+func (c *Carrier) forget(addresses []string) {
+	f, ok := c.transport.(forgetter)
+	if !ok {
+		return
+	}
+	for _, addr := range addresses {
+		klog.InfoS("upstream has started again, connections given up", "address", addr)
+		f.Forget(addr)
+	}
+}
+
 // Snapshot returns the snapshot in force, or nil before the first.
 func (c *Carrier) Snapshot() *model.Snapshot { return c.snap.Load() }
 
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -197,6 +197,17 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// Forget closes the idle connections to an address. They lead to an earlier life of its
+// upstream, and would break under the next request.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[addr] {
+		c.close()
+	}
+	delete(p.idle, addr)
+}
+
 // sweep closes the connections that were idle for too long.
 func (p *Pool) sweep(now time.Time) {
 	if now.Sub(p.swept) < sweepEvery {
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -254,3 +254,32 @@
 		t.Errorf("%d of %d bytes arrived", n, size)
 	}
 }
+
+// TestForgottenAddress gives up the connections to an upstream that has started again
+// there: an unsafe request must not meet the end of an earlier life.
+func TestForgottenAddress(t *testing.T) {
+	s := newScript(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nContent-Length: 2\r\n\r\nok", req.Header.Get(idHeader))
+		}
+	})
+	p := newTestPool()
+	for _, tt := range []struct {
+		id          string
+		connections int
+	}{{"a", 1}, {"b", 1}, {"after the restart", 2}} {
+		if tt.connections == 2 {
+			p.Forget(s.lis.Addr().String())
+		}
+		if _, err := s.send(t, p, tt.id, "/x", nil, 0); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(s.conns); n != tt.connections {
+			t.Errorf("request %s: %d connections so far, want %d", tt.id, n, tt.connections)
+		}
+	}
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -23,10 +23,16 @@
 	Connections int    `json:"connections"`
 	// Leaving is set when the platform's list says so, or the upstream itself.
 	Leaving bool `json:"leaving,omitempty"`
+	// Born is the Unix millisecond at which the upstream started; 0 if it does not tell.
+	// One that starts again under its id knows nothing of its earlier life.
+	Born int64 `json:"born,omitempty"`
 	// ColdUntil is until when the upstream is known to be cold; zero if it is not.
 	ColdUntil time.Time `json:"cold_until,omitzero"`
 }
 
+// RestartOf reports whether u is a later life of an upstream than known is.
+func (u *Upstream) RestartOf(known *Upstream) bool { return known.Born > 0 && u.Born > known.Born }
+
 // Drain and Member are used throughout the snapshot.
 type (
 	Drain  = tree.Drain
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -54,8 +54,21 @@
 	// lapsed are the entries that went while the service was away or soon after,
 	// by when.
 	lapsed map[string]time.Time
+	// ended are the newest lives of upstreams that are gone.
+	ended map[string]ended
 }
 
+// ended is a life of an upstream that is over.
+type ended struct {
+	born int64
+	at   time.Time
+}
+
+// rememberEnded is how long the end of an upstream's life is remembered. A write to the
+// service that its caller gave up on may still be done some seconds later, and must not
+// bring back an earlier life than the last.
+const rememberEnded = time.Minute
+
 // node is a registration of a node.
 type node struct {
 	model.Member
@@ -70,6 +83,7 @@
 		drained:   make(map[string]time.Time),
 		nodes:     make(map[string]node),
 		lapsed:    make(map[string]time.Time),
+		ended:     make(map[string]ended),
 	}
 }
 
@@ -89,11 +103,46 @@
 // Config returns the configuration in force, or nil.
 func (v *View) Config() *model.Config { return v.config }
 
-// PutUpstream takes in an upstream's entry.
-func (v *View) PutUpstream(u model.Upstream) {
+// HasDomain reports whether a failure domain exists.
+func (v *View) HasDomain(domain string) bool {
+	_, ok := v.opt.Regions[domain]
+	return ok
+}
+
+// PutUpstream takes in an upstream's entry. It reports whether it does: the entry of a
+// life before the one that is known changes nothing.
+func (v *View) PutUpstream(u model.Upstream) bool {
+	if known, ok := v.upstreams[u.ID]; ok && known.RestartOf(&u) {
+		return false
+	}
+	if u.Born > 0 && u.Born < v.ended[u.ID].born {
+		return false
+	}
 	u.Region = v.opt.Regions[u.Domain]
 	v.upstreams[u.ID] = u
 	delete(v.lapsed, u.ID)
+	delete(v.ended, u.ID)
+	return true
+}
+
+// DropUpstream forgets an upstream at once, because what stands in place of its entry
+// names none.
+func (v *View) DropUpstream(id string, now time.Time) {
+	v.end(id, now)
+	delete(v.lapsed, id)
+}
+
+// end forgets an upstream but for when its last life began.
+func (v *View) end(id string, now time.Time) {
+	u, ok := v.upstreams[id]
+	if !ok {
+		return
+	}
+	delete(v.upstreams, id)
+	maps.DeleteFunc(v.ended, func(_ string, e ended) bool { return now.Sub(e.at) >= rememberEnded })
+	if u.Born > 0 {
+		v.ended[id] = ended{u.Born, now}
+	}
 }
 
 // RemoveUpstream records that an upstream's entry is gone. It reports whether the
@@ -111,7 +160,7 @@
 		}
 		return false
 	}
-	delete(v.upstreams, id)
+	v.end(id, now)
 	return true
 }
 
@@ -204,6 +253,12 @@
 	delete(v.nodes, key)
 }
 
+// DropNode forgets a registration at once, because what stands in its place names no node.
+func (v *View) DropNode(key string) {
+	delete(v.nodes, key)
+	delete(v.lapsed, key)
+}
+
 // ReplaceNodes takes in all registrations at once.
 func (v *View) ReplaceNodes(all map[string]model.Member, now time.Time) {
 	for key, m := range all {
@@ -252,7 +307,7 @@
 		return false
 	}
 	for id := range v.lapsed {
-		delete(v.upstreams, id)
+		v.end(id, now)
 		delete(v.nodes, id)
 	}
 	clear(v.lapsed)
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -147,3 +147,39 @@
 		t.Errorf("others %v", others)
 	}
 }
+
+// TestEarlierLifeBringsNothingBack has entries of earlier lives of an upstream arrive
+// late: a write that its writer gave up on may be done seconds afterwards.
+func TestEarlierLifeBringsNothingBack(t *testing.T) {
+	v := newView()
+	life := func(born int64, address string) model.Upstream {
+		u := upstream("u1", "mus-a")
+		u.Born, u.Address = born, address
+		return u
+	}
+	v.PutUpstream(life(2000, "second"))
+	if v.PutUpstream(life(1000, "first")) || v.upstreams["u1"].Address != "second" {
+		t.Error("an earlier life takes the place of the present one")
+	}
+	if !v.PutUpstream(life(3000, "third")) || v.upstreams["u1"].Address != "third" {
+		t.Error("a later life is not taken in")
+	}
+	v.RemoveUpstream("u1", at(10))
+	if v.PutUpstream(life(2000, "second")); has(v, "u1") {
+		t.Error("an earlier life comes back after the last has ended")
+	}
+	if v.PutUpstream(life(3000, "third")); !has(v, "u1") {
+		t.Error("the last life may not come back")
+	}
+}
+
+// TestWithoutBirthAsBefore takes in entries that do not tell when their upstream started.
+func TestWithoutBirthAsBefore(t *testing.T) {
+	v := newView()
+	born := upstream("u1", "mus-a")
+	born.Born = 1000
+	v.PutUpstream(born)
+	if !v.PutUpstream(upstream("u1", "mus-a")) || v.upstreams["u1"].Born != 0 {
+		t.Error("an entry without a birth is not taken in")
+	}
+}
