--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -115,6 +115,7 @@
 		return eris.Wrapf(err, "listen on %s", s.Peer)
 	}
 	named := func() []model.Member { return n.Named(exchange.Absent(time.Now())) }
+	metrics.Publish("store", func() any { return store.Calls() })
 	if err := listen(n, named, s); err != nil {
 		return err
 	}
