--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -91,7 +91,7 @@
 	stop, cancel := process.Signals(ctx)
 	defer cancel()
 	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, s.Peer, time.Now())
-	self.LinkMbps = s.LinkMbps
+	self.LinkMbps, self.Cores = s.LinkMbps, s.Cores
 	n := node.New(view.Options{
 		Self:    self,
 		Regions: s.Regions,
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,14 @@
 	// 50 ms to 100 ms.
 	nearPeriod = 100 * time.Millisecond
 	farPeriod  = 200 * time.Millisecond
+	// idlePeriod is the time between reports of an entry that carries no requests to its
+	// hub, and of the hub to it. Look-ups name few entries of a large fleet; the reports
+	// of the others cost most of what they did at all.
+	idlePeriod = 500 * time.Millisecond
+	// busyFor is how long an entry counts as busy after its last request.
+	busyFor = 2 * time.Second
+	// absentFor is how long it is believed what a hub told of absent entries.
+	absentFor = 3 * idlePeriod
 	// maxDatagram is the largest report in bytes.
 	maxDatagram = 1400
 )
@@ -38,6 +47,8 @@
 	Doubt func() (rest, left time.Duration)
 	// Leaving reports whether the own entry stops.
 	Leaving func() bool
+	// Busy reports whether the own entry has requests; nil means always.
+	Busy func() bool
 	// Heard takes in a report. Peer names whose requests it counts.
 	Heard func(peer string, r *Report)
 	// Stranger is told of reports by entries that are not in the fleet.
@@ -55,9 +66,17 @@
 	seq  uint64
 	buf  []byte
 
+	// busyUntil is until when the own entry counts as busy, toldIdle when those that are
+	// idle were last told. Only the goroutine that sends uses them.
+	busyUntil time.Time
+	toldIdle  time.Time
+
 	mu       sync.Mutex
 	hubs     *hubs
 	presence *presence
+	// absent are the hashes of the entries that the hub told to be absent at absentAt.
+	absent   []uint32
+	absentAt time.Time
 }
 
 // Listen opens the socket.
@@ -70,46 +89,97 @@
 	if err != nil {
 		return nil, err
 	}
+	if opt.Busy == nil {
+		opt.Busy = func() bool { return true }
+	}
 	return &Exchange{opt: opt, conn: conn, hubs: newHubs(opt.Entry), presence: newPresence()}, nil
 }
 
 // Absent returns the ids of the entries that stop or are silent. In a fleet with hubs an
-// entry does not hear of each other one, and takes none for absent.
+// entry hears from its hub which of its failure domain these are.
 func (x *Exchange) Absent(now time.Time) map[string]bool {
-	peers := x.opt.Fleet().Peers
-	if len(peers) > maxDirect {
-		return nil
-	}
+	fleet := x.opt.Fleet()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.presence.list(peers, now)
+	if len(fleet.Peers) > maxDirect {
+		return x.absentByHub(fleet.Hubs, now)
+	}
+	x.presence.list(fleet.Peers, now)
 	return x.presence.absent(x.hubs.heard, now)
 }
 
+// absentByHub returns the absent entries among those of the own failure domain: what the
+// hub told, and hubs that were given up. The caller holds the lock.
+func (x *Exchange) absentByHub(domain []Peer, now time.Time) map[string]bool {
+	told := make(map[uint32]bool, len(x.absent))
+	if now.Sub(x.absentAt) < absentFor {
+		for _, h := range x.absent {
+			told[h] = true
+		}
+	}
+	out := make(map[string]bool)
+	for _, p := range domain {
+		if at, avoided := x.hubs.avoided[p.ID]; told[hashOf(p.ID)] || avoided && now.Sub(at) < hubAvoid {
+			out[p.ID] = true
+		}
+	}
+	return out
+}
+
 // Run sends and receives until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
 	go x.receive()
 	defer x.conn.Close()
-	tick := time.NewTicker(nearPeriod)
+	period := nearPeriod
+	tick := time.NewTicker(period)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
 			x.send(time.Now())
+			if next := x.period(time.Now()); next != period {
+				period = next
+				tick.Reset(period)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// period is the time until the next report. In a small fleet all entries hear from each
+// other that they are there, so that none goes idle.
+func (x *Exchange) period(now time.Time) time.Duration {
+	if len(x.opt.Fleet().Peers) <= maxDirect || !x.idle(now) {
+		return nearPeriod
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(x.hubs.reporters) > 0 {
+		return nearPeriod
+	}
+	return idlePeriod
+}
+
+// idle reports whether the entry has had no requests for a while.
+func (x *Exchange) idle(now time.Time) bool { return !now.Before(x.busyUntil) }
+
 // send tells whoever is due.
 func (x *Exchange) send(now time.Time) {
 	x.seq++
+	if x.opt.Busy() {
+		if x.idle(now) {
+			x.mu.Lock()
+			x.hubs.expect(now)
+			x.mu.Unlock()
+		}
+		x.busyUntil = now.Add(busyFor)
+	}
 	fleet := x.opt.Fleet()
 	switch {
 	case len(fleet.Peers) == 0:
 	case len(fleet.Peers) <= maxDirect:
-		x.tell(fleet.Peers, ScopeOwn, balance.Counted{Own: true})
+		x.tell(fleet.Peers, Report{Scope: ScopeOwn}, balance.Counted{Own: true})
 	default:
 		x.sendByHubs(fleet, now)
 	}
@@ -119,9 +189,14 @@
 // to which others report works as their hub even if it would choose another itself:
 // they have given that one up.
 func (x *Exchange) sendByHubs(fleet Fleet, now time.Time) {
+	silence := hubSilence
+	if x.idle(now) {
+		silence = idleHubSilence
+	}
 	x.mu.Lock()
-	hub := x.hubs.pick(fleet.Hubs, now)
-	reporting := x.hubs.reporting(now)
+	hub := x.hubs.pick(fleet.Hubs, silence, now)
+	busy, idle := x.hubs.reporting(now)
+	absent := x.absentOf(fleet.Hubs, now)
 	remote := make([]Peer, len(fleet.Remote))
 	for i, c := range fleet.Remote {
 		remote[i] = x.hubs.speaker(c, now)
@@ -129,23 +204,46 @@
 	x.mu.Unlock()
 	isHub := hub.ID == x.opt.Entry
 	if !isHub {
-		x.tell([]Peer{hub}, ScopeOwn, balance.Counted{Own: true})
+		x.tell([]Peer{hub}, Report{Scope: ScopeOwn, Idle: x.idle(now)}, balance.Counted{Own: true})
 	}
-	for _, p := range reporting {
-		x.tell([]Peer{p}, ScopeOthers, balance.Counted{Own: true, Peers: func(peer string) bool { return peer != p.ID && peer != others }})
+	toReporters := Report{Scope: ScopeOthers, Absent: absent}
+	for _, p := range busy {
+		x.tell([]Peer{p}, toReporters, balance.Counted{Own: true, Peers: func(peer string) bool { return peer != p.ID && peer != others }})
 	}
-	if isHub || len(reporting) > 0 {
-		from := make(map[string]bool, len(reporting))
-		for _, p := range reporting {
+	if len(idle) > 0 && now.Sub(x.toldIdle) >= idlePeriod-nearPeriod/2 {
+		// None of them has requests that would have to be left out for it.
+		x.toldIdle = now
+		x.tell(idle, toReporters, balance.Counted{Own: true, Peers: func(peer string) bool { return peer != others }})
+	}
+	if isHub || len(busy)+len(idle) > 0 {
+		from := make(map[string]bool, len(busy)+len(idle))
+		for _, p := range append(busy, idle...) {
 			from[p.ID] = true
 		}
-		x.tell(remote, ScopeDomain, balance.Counted{Own: isHub, Peers: func(peer string) bool { return from[peer] }})
+		x.tell(remote, Report{Scope: ScopeDomain}, balance.Counted{Own: isHub, Peers: func(peer string) bool { return from[peer] }})
 	}
 }
 
-// tell sends one report to the peers that are due for it. A datagram that cannot be
-// sent is as good as lost.
-func (x *Exchange) tell(peers []Peer, scope Scope, whose balance.Counted) {
+// absentOf returns the hashes of the absent entries of the own failure domain: those that
+// this entry, as their hub, does not hear, and those that said that they stop. The
+// caller holds the lock.
+func (x *Exchange) absentOf(domain []Peer, now time.Time) []uint32 {
+	silent := x.hubs.absent(domain, now)
+	var out []uint32
+	for _, p := range domain {
+		if x.presence.leaving[p.ID] || slices.Contains(silent, p.ID) {
+			out = append(out, hashOf(p.ID))
+		}
+	}
+	if len(x.hubs.reporters) > 0 {
+		x.absent, x.absentAt = out, now
+	}
+	return out
+}
+
+// tell sends one report, with the counts of whose requests it is about, to the peers that
+// are due for it. A datagram that cannot be sent is as good as lost.
+func (x *Exchange) tell(peers []Peer, whole Report, whose balance.Counted) {
 	far := x.seq%uint64(farPeriod/nearPeriod) == 0
 	due := make([]netip.AddrPort, 0, len(peers))
 	for _, p := range peers {
@@ -156,7 +254,8 @@
 	if len(due) == 0 {
 		return
 	}
-	whole := Report{Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq, Scope: scope, Counts: x.opt.Counts(whose)}
+	whole.Entry, whole.Incarnation, whole.Sequence = x.opt.Entry, x.opt.Incarnation, x.seq
+	whole.Counts = x.opt.Counts(whose)
 	whole.Leaving = x.opt.Leaving()
 	whole.Doubt, whole.DoubtLeft = x.opt.Doubt()
 	for _, r := range whole.split() {
@@ -198,8 +297,11 @@
 			continue
 		}
 		x.mu.Lock()
-		x.hubs.take(p, r.Scope, now)
+		x.hubs.take(p, r, now)
 		x.presence.take(p.ID, r.Leaving)
+		if r.Scope == ScopeOthers {
+			x.absent, x.absentAt = r.Absent, now
+		}
 		x.mu.Unlock()
 		x.opt.Heard(nameOf(r), r)
 		return
--- a/internal/inflight/hub.go
+++ b/internal/inflight/hub.go
@@ -13,10 +13,17 @@
 	// hubSilence is after what time without a report from it a hub is given up. It
 	// sends one in each period.
 	hubSilence = 500 * time.Millisecond
+	// idleHubSilence is the same for an entry that is idle, which is told each idlePeriod.
+	idleHubSilence = 3 * idlePeriod
+	// maxUnheard is the share of a failure domain that may be taken for gone by its hub.
+	// Most instances of a domain may be lost at once.
+	maxUnheard = 0.9
 	// hubAvoid is how long a hub that was given up is passed over.
 	hubAvoid = 3 * time.Second
-	// reporterFresh is how long an entry that reported is counted and told.
-	reporterFresh = time.Second
+	// reporterFresh is how long an entry that reported is counted and told, and
+	// idleReporterFresh how long one that is idle.
+	reporterFresh     = time.Second
+	idleReporterFresh = 3 * idlePeriod
 )
 
 // Peer is another entry.
@@ -51,11 +58,22 @@
 	reporters map[string]reporter
 	// remote is which entry last spoke for each other failure domain.
 	remote map[string]reporter
+	// servingSince is when this entry was first reported to, of late.
+	servingSince time.Time
 }
 
 type reporter struct {
 	Peer
-	at time.Time
+	at   time.Time
+	idle bool
+}
+
+// fresh reports whether a reporter is still there.
+func (r reporter) fresh(now time.Time) bool {
+	if r.idle {
+		return now.Sub(r.at) < idleReporterFresh
+	}
+	return now.Sub(r.at) < reporterFresh
 }
 
 func newHubs(self string) *hubs {
@@ -67,19 +85,30 @@
 }
 
 // take records a report. From is the peer that sent it.
-func (h *hubs) take(from Peer, scope Scope, now time.Time) {
+func (h *hubs) take(from Peer, r *Report, now time.Time) {
 	h.heard[from.ID] = now
-	switch scope {
+	switch r.Scope {
 	case ScopeOwn:
-		h.reporters[from.ID] = reporter{from, now}
+		if len(h.reporters) == 0 {
+			h.servingSince = now
+		}
+		h.reporters[from.ID] = reporter{from, now, r.Idle}
 	case ScopeDomain:
-		h.remote[from.Domain] = reporter{from, now}
+		h.remote[from.Domain] = reporter{from, now, false}
 	}
 }
 
-// pick returns the hub of the own failure domain: the first candidate that is not
-// silent. The own entry is one, and is never silent.
-func (h *hubs) pick(candidates []Peer, now time.Time) Peer {
+// expect has the hub that is told now answer from now on, as this entry, which was idle
+// and was told seldom, is to be told more often.
+func (h *hubs) expect(now time.Time) {
+	for id := range h.told {
+		h.told[id] = now
+	}
+}
+
+// pick returns the hub of the own failure domain: the first candidate that has not been
+// silent for longer than allowed. The own entry is one, and is never silent.
+func (h *hubs) pick(candidates []Peer, silence time.Duration, now time.Time) Peer {
 	for _, c := range candidates {
 		if c.ID == h.self {
 			return c
@@ -95,7 +124,7 @@
 		if last := h.heard[c.ID]; last.After(since) {
 			since = last
 		}
-		if now.Sub(since) < hubSilence {
+		if now.Sub(since) < silence {
 			return c
 		}
 		h.avoided[c.ID] = now
@@ -104,15 +133,38 @@
 	return Peer{}
 }
 
-// reporting returns the entries that report to this one.
-func (h *hubs) reporting(now time.Time) []Peer {
-	var out []Peer
+// reporting returns the entries that report to this one, those that carry requests and
+// those that are idle.
+func (h *hubs) reporting(now time.Time) (busy, idle []Peer) {
 	for id, r := range h.reporters {
-		if now.Sub(r.at) >= reporterFresh {
+		switch {
+		case !r.fresh(now):
 			delete(h.reporters, id)
-			continue
+		case r.idle:
+			idle = append(idle, r.Peer)
+		default:
+			busy = append(busy, r.Peer)
 		}
-		out = append(out, r.Peer)
+	}
+	return busy, idle
+}
+
+// absent returns those candidates for hub of the own failure domain that this entry,
+// as its hub, does not hear. It says nothing of any while it has not been the hub for
+// long enough to have heard all, nor if it hears next to none: then it is more likely
+// cut off itself.
+func (h *hubs) absent(candidates []Peer, now time.Time) []string {
+	if len(h.reporters) == 0 || now.Sub(h.servingSince) < idleReporterFresh {
+		return nil
+	}
+	var out []string
+	for _, c := range candidates {
+		if c.ID != h.self && now.Sub(h.heard[c.ID]) >= idleReporterFresh {
+			out = append(out, c.ID)
+		}
+	}
+	if float64(len(out)) > maxUnheard*float64(len(candidates)) {
+		return nil
 	}
 	return out
 }
@@ -120,7 +172,7 @@
 // speaker returns who speaks for another failure domain: the entry that did of late,
 // else the first candidate.
 func (h *hubs) speaker(candidate Peer, now time.Time) Peer {
-	if r, ok := h.remote[candidate.Domain]; ok && now.Sub(r.at) < reporterFresh {
+	if r, ok := h.remote[candidate.Domain]; ok && r.fresh(now) {
 		return r.Peer
 	}
 	return candidate
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,13 +28,13 @@
 	at := func(d time.Duration) time.Time { return t0.Add(d) }
 	pick := func(d time.Duration, want string) {
 		t.Helper()
-		if got := h.pick(order, at(d)).ID; got != want {
+		if got := h.pick(order, hubSilence, at(d)).ID; got != want {
 			t.Errorf("after %v: %s, want %s", d, got, want)
 		}
 	}
 	pick(0, "a")
 	pick(hubSilence-1, "a")
-	h.take(Peer{ID: "a"}, ScopeOthers, at(hubSilence-1))
+	h.take(Peer{ID: "a"}, &Report{Scope: ScopeOthers}, at(hubSilence-1))
 	pick(hubSilence+1, "a")
 	pick(2*hubSilence, "b")
 	pick(3*hubSilence, "self")
@@ -43,7 +44,7 @@
 func TestTheFirstCandidateIsItsOwnHub(t *testing.T) {
 	h := newHubs("self")
 	for i := range 20 {
-		if got := h.pick(candidates("self", "a"), t0.Add(time.Duration(i)*time.Second)).ID; got != "self" {
+		if got := h.pick(candidates("self", "a"), hubSilence, t0.Add(time.Duration(i)*time.Second)).ID; got != "self" {
 			t.Errorf("second %d: %s", i, got)
 		}
 	}
@@ -51,12 +52,12 @@
 
 func TestReportersAreForgotten(t *testing.T) {
 	h := newHubs("self")
-	h.take(Peer{ID: "a"}, ScopeOwn, t0)
-	h.take(Peer{ID: "b"}, ScopeDomain, t0)
-	if got := h.reporting(t0.Add(reporterFresh - 1)); len(got) != 1 || got[0].ID != "a" {
+	h.take(Peer{ID: "a"}, &Report{Scope: ScopeOwn}, t0)
+	h.take(Peer{ID: "b"}, &Report{Scope: ScopeDomain}, t0)
+	if got, _ := h.reporting(t0.Add(reporterFresh - 1)); len(got) != 1 || got[0].ID != "a" {
 		t.Errorf("%v", got)
 	}
-	if got := h.reporting(t0.Add(reporterFresh)); len(got) != 0 {
+	if got, _ := h.reporting(t0.Add(reporterFresh)); len(got) != 0 {
 		t.Errorf("%v", got)
 	}
 }
@@ -68,7 +69,7 @@
 	if got := h.speaker(first, t0); got.ID != "a" {
 		t.Errorf("%v", got)
 	}
-	h.take(second, ScopeDomain, t0)
+	h.take(second, &Report{Scope: ScopeDomain}, t0)
 	if got := h.speaker(first, t0.Add(reporterFresh-1)); got.ID != "b" {
 		t.Errorf("%v", got)
 	}
@@ -78,7 +79,10 @@
 }
 
 func TestSplitCoversAllUpstreamsOnce(t *testing.T) {
-	r := Report{Entry: "e"}
+	r := Report{Entry: "e", Doubt: time.Minute, DoubtLeft: time.Minute, Leaving: true, Idle: true, Incarnation: 1 << 60, Sequence: 1 << 30}
+	for i := range maxAbsent {
+		r.Absent = append(r.Absent, uint32(i))
+	}
 	for i := range 3*maxCounts + 1 {
 		r.Counts = append(r.Counts, Count{Upstream: uint32((i * 7919) % 100_003), Requests: i + 1, Failed: 1, Answered: 9})
 	}
@@ -114,6 +118,8 @@
 	// gone are entries whose last reports may still arrive.
 	gone    map[string]bool
 	changed chan struct{}
+	// idle is set if the entry carries no requests.
+	idle atomic.Bool
 }
 
 const theUpstream = 7
@@ -122,7 +128,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 0
-	if w.Own {
+	if w.Own && !e.idle.Load() {
 		n = 1
 	}
 	for peer, at := range e.heard {
@@ -203,6 +209,7 @@
 			x, err := Listen(Options{
 				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Leaving: func() bool { return false }, Stranger: func(netip.AddrPort) {},
 				Fleet: func() Fleet { return fleetFor(e, all) },
+				Busy:  func() bool { return !e.idle.Load() },
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -266,3 +273,80 @@
 		e.until(t, 2*each-2)
 	}
 }
+
+// TestIdleEntriesLearnOfAll has most entries of a large fleet carry no requests: they are
+// told seldom, but of all.
+func TestIdleEntriesLearnOfAll(t *testing.T) {
+	const each = maxDirect/2 + 2
+	all := startFleet(t, each)
+	busy := []*entry{all[1], all[each+1]}
+	for _, e := range all {
+		e.idle.Store(true)
+	}
+	for _, e := range busy {
+		e.idle.Store(false)
+	}
+	for _, e := range all {
+		want := len(busy)
+		if !e.idle.Load() {
+			want--
+		}
+		e.until(t, want)
+	}
+}
+
+// TestHubTellsWhoIsAbsent ends an entry of a large fleet, idle or not: all others of its
+// failure domain hear of it, though its registration stands.
+func TestHubTellsWhoIsAbsent(t *testing.T) {
+	const each = maxDirect/2 + 2
+	for _, idle := range []bool{false, true} {
+		all, exchanges := startExchanges(t, each)
+		for _, e := range all {
+			e.idle.Store(idle)
+		}
+		dead := all[3]
+		for _, e := range all {
+			if idle {
+				break
+			}
+			e.until(t, 2*each-1)
+		}
+		dead.stop()
+		for i, x := range exchanges[:each] {
+			for i != 3 && !x.Absent(time.Now())[dead.peer.ID] {
+				time.Sleep(pollEvery)
+			}
+			if got := x.Absent(time.Now()); i != 3 && len(got) != 1 {
+				t.Errorf("idle %v: to %s absent are %v", idle, all[i].peer.ID, got)
+			}
+		}
+	}
+}
+
+// TestAHubJudgesOnlyWhomItCouldHear has an entry take over as the hub of its failure
+// domain, and then be cut off.
+func TestAHubJudgesOnlyWhomItCouldHear(t *testing.T) {
+	h := newHubs("self")
+	domain := candidates("self", "a", "b", "c")
+	at := func(d time.Duration) time.Time { return t0.Add(d) }
+	if got := h.absent(domain, at(0)); got != nil {
+		t.Errorf("absent before anyone reports: %v", got)
+	}
+	hear := func(d time.Duration, ids ...string) {
+		for _, id := range ids {
+			h.take(Peer{ID: id}, &Report{Scope: ScopeOwn, Idle: true}, at(d))
+		}
+	}
+	hear(0, "a")
+	if got := h.absent(domain, at(idleReporterFresh-1)); got != nil {
+		t.Errorf("absent just after it took over: %v", got)
+	}
+	hear(idleReporterFresh, "a", "b")
+	if got := h.absent(domain, at(idleReporterFresh)); len(got) != 1 || got[0] != "c" {
+		t.Errorf("absent: %v, want c", got)
+	}
+	h.reporting(at(3 * idleReporterFresh))
+	if got := h.absent(domain, at(3*idleReporterFresh)); got != nil {
+		t.Errorf("absent to one that hears nobody: %v", got)
+	}
+}
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
@@ -52,7 +53,13 @@
 	Doubt, DoubtLeft time.Duration
 	// Leaving is set while the sender stops.
 	Leaving bool
-	Counts  []Count
+	// Idle is set while the sender has carried no request for a while. It is told less
+	// often then.
+	Idle bool
+	// Absent are the hashes of the ids of entries of the sender's failure domain that stop
+	// or are silent; see hashOf. Hubs tell them.
+	Absent []uint32
+	Counts []Count
 }
 
 // Fields of the encoding, a protobuf message.
@@ -69,13 +76,17 @@
 	fieldDoubtLeft   = 10
 	fieldFailures    = 11
 	fieldLeaving     = 12
+	fieldIdle        = 13
+	fieldAbsent      = 14
 )
 
 const (
 	// maxCounts bounds the upstreams of one report, and maxFailures those of them with
 	// failures, so that it fits a datagram.
-	maxCounts   = 160
+	maxCounts   = 150
 	maxFailures = 30
+	// maxAbsent bounds the absent entries of one report for the same reason.
+	maxAbsent = 40
 	// outcomeUnit is the part of an outcome that is told: outcomes count for less as
 	// they age.
 	outcomeUnit = 0.1
@@ -128,6 +139,14 @@
 		b = protowire.AppendTag(b, fieldLeaving, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
 	}
+	if r.Idle {
+		b = protowire.AppendTag(b, fieldIdle, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
+	}
+	if len(r.Absent) > 0 {
+		b = protowire.AppendTag(b, fieldAbsent, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendHashes(nil, r.Absent[:min(len(r.Absent), maxAbsent)]))
+	}
 	b = protowire.AppendTag(b, fieldFirst, protowire.Fixed32Type)
 	b = protowire.AppendFixed32(b, r.First)
 	b = protowire.AppendTag(b, fieldLast, protowire.Fixed32Type)
@@ -144,6 +163,28 @@
 	return appendFailures(b, counts)
 }
 
+func appendHashes(b []byte, hashes []uint32) []byte {
+	for _, h := range hashes {
+		b = protowire.AppendFixed32(b, h)
+	}
+	return b
+}
+
+func (r *Report) decodeAbsent(b []byte) error {
+	for len(b) > 0 {
+		h, n := protowire.ConsumeFixed32(b)
+		if n < 0 {
+			return errMalformed
+		}
+		b = b[n:]
+		r.Absent = append(r.Absent, h)
+	}
+	return nil
+}
+
+// hashOf names an entry in a list of absent ones.
+func hashOf(entry string) uint32 { return uint32(xxhash.Sum64String(entry)) }
+
 // appendFailures adds the place among the counts, the failures and the outcomes of
 // each upstream with failures.
 func appendFailures(b []byte, counts []Count) []byte {
@@ -169,8 +210,8 @@
 // Decode reads a report. Unknown fields are passed over.
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
-	var upstreams, requests, failures []byte
-	var scope, doubt, doubtLeft, leaving uint64
+	var upstreams, requests, failures, absent []byte
+	var scope, doubt, doubtLeft, leaving, idle uint64
 	for len(b) > 0 {
 		field, kind, n := protowire.ConsumeTag(b)
 		if n < 0 {
@@ -198,6 +239,10 @@
 			doubtLeft, n = protowire.ConsumeVarint(b)
 		case field == fieldLeaving && kind == protowire.VarintType:
 			leaving, n = protowire.ConsumeVarint(b)
+		case field == fieldIdle && kind == protowire.VarintType:
+			idle, n = protowire.ConsumeVarint(b)
+		case field == fieldAbsent && kind == protowire.BytesType:
+			absent, n = protowire.ConsumeBytes(b)
 		case field == fieldFirst && kind == protowire.Fixed32Type:
 			r.First, n = protowire.ConsumeFixed32(b)
 		case field == fieldLast && kind == protowire.Fixed32Type:
@@ -213,11 +258,14 @@
 	if scope > uint64(ScopeOthers) || r.First > r.Last || doubt > maxDoubt || doubtLeft > maxDoubt {
 		return nil, errMalformed
 	}
-	r.Scope, r.Leaving = Scope(scope), leaving != 0
+	r.Scope, r.Leaving, r.Idle = Scope(scope), leaving != 0, idle != 0
 	r.Doubt, r.DoubtLeft = time.Duration(doubt)*time.Millisecond, time.Duration(doubtLeft)*time.Millisecond
 	if err := r.decodeCounts(upstreams, requests); err != nil {
 		return nil, err
 	}
+	if err := r.decodeAbsent(absent); err != nil {
+		return nil, err
+	}
 	return r, r.decodeFailures(failures)
 }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -54,6 +54,8 @@
 	// LinkMbps is what the instance's link carries in Mbit/s; 0 if unknown. Of the
 	// processes only the node tells it.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// Cores is how much processor the instance has, in cores; 0 if unknown.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Live reports whether the member may be sent work or messages.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,6 +233,7 @@
 		Counts:      n.counts,
 		Doubt:       n.doubt,
 		Leaving:     n.stopping.Load,
+		Busy:        func() bool { return n.Entry.Carrier.InFlight() > 0 },
 		Heard:       n.heard,
 		Stranger:    func(from netip.AddrPort) { n.Strangers.Heard(from.String(), n.now()) },
 	}
--- a/internal/route/nearest_test.go
+++ b/internal/route/nearest_test.go
@@ -37,3 +37,37 @@
 		}
 	}
 }
+
+// TestStrongMembersAreNamedAlone has members of unlike links and processors in a domain.
+func TestStrongMembersAreNamedAlone(t *testing.T) {
+	fleet := func(strong, weak int) []model.Member {
+		var out []model.Member
+		for i := range strong + weak {
+			m := model.Member{ID: "weak", Region: "m", Domain: "a", State: membership.Alive, Entry: "x", LinkMbps: 20, Cores: 0.16}
+			if i < strong {
+				m.ID, m.LinkMbps, m.Cores = "strong", 200, 0.8
+			}
+			out = append(out, m)
+		}
+		return out
+	}
+	slowLink := fleet(2, 4)
+	slowLink[1].LinkMbps = 20
+	for _, tt := range []struct {
+		name    string
+		members []model.Member
+		want    int
+	}{
+		{"a third of the strength in three", fleet(3, 34), 3},
+		{"two that hold most", fleet(2, 10), 2},
+		{"one that holds most", fleet(1, 3), 4},
+		{"two that cannot carry the others", fleet(2, 60), 62},
+		{"all alike", fleet(0, 5), 5},
+		{"nothing told", []model.Member{{Region: "m", Domain: "a", State: membership.Alive, Entry: "x"}, {Region: "m", Domain: "a", State: membership.Alive, Entry: "y"}}, 2},
+		{"fast processor on a slow link", slowLink, 6},
+	} {
+		if got := Nearest(tt.members, "m", "a"); len(got) != tt.want {
+			t.Errorf("%s: %d named, want %d", tt.name, len(got), tt.want)
+		}
+	}
+}
