--- /dev/null
+++ b/internal/node/apply_bench_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/forward"
+	"github.com/loomkeel/loomkeel/internal/membership"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/route"
+	"github.com/loomkeel/loomkeel/internal/view"
+)
+
+// largeNode is a node of a fleet of 295 with 1,617 upstreams in nine failure domains.
+func largeNode() *Node {
+	regions := make(map[string]string)
+	for d := range 9 {
+		regions[fmt.Sprint("d", d)] = fmt.Sprint("r", d/3)
+	}
+	self := model.Member{ID: "n0", Region: "r0", Domain: "d0", State: membership.Alive, Entry: "10.0.0.1:80", Agent: "10.0.0.1:7200", LinkMbps: 200, Cores: 0.8}
+	n := New(view.Options{Self: self, Regions: regions, Rejoin: time.Second}, forward.Options{Self: self.ID, Domain: self.Domain, Room: 100, Now: time.Now})
+	n.Apply(func(v *view.View, _ time.Time) {
+		v.SetConfig(&model.Config{Version: 1, Services: map[string]model.ServiceConfig{"s0": {}, "s1": {}, "s2": {}}})
+		for i := range 1617 {
+			v.PutUpstream(largeUpstream(i))
+		}
+		for i := 1; i < 295; i++ {
+			m := self
+			m.ID, m.Domain, m.Region = fmt.Sprint("n", i), fmt.Sprint("d", i%9), regions[fmt.Sprint("d", i%9)]
+			if i >= 27 {
+				m.LinkMbps, m.Cores = 20, 0.16
+			}
+			v.PutNode(m.ID, m)
+		}
+	})
+	n.Synced()
+	return n
+}
+
+func largeUpstream(i int) model.Upstream {
+	return model.Upstream{ID: fmt.Sprint("i-", i), Service: fmt.Sprint("s", i%3), Domain: fmt.Sprint("d", i%9), Address: "10.0.1.1:80", Slots: 9}
+}
+
+// BenchmarkApply measures a change of one upstream.
+func BenchmarkApply(b *testing.B) {
+	n := largeNode()
+	b.ReportAllocs()
+	for i := range b.N {
+		n.Apply(func(v *view.View, _ time.Time) { v.PutUpstream(largeUpstream(i % 1617)) })
+	}
+}
+
+// BenchmarkNamed measures whom a look-up names.
+func BenchmarkNamed(b *testing.B) {
+	n := largeNode()
+	b.ReportAllocs()
+	for range b.N {
+		route.Nearest(n.Named(nil), "r0", "d0")
+	}
+}
