--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -20,11 +20,11 @@
 	// 50 ms to 100 ms.
 	nearPeriod = 100 * time.Millisecond
 	farPeriod  = 200 * time.Millisecond
-	// idlePeriod is the time between reports of an entry that carries no requests to its
+	// idlePeriod is the time between reports of an entry that carries few requests to its
 	// hub, and of the hub to it. Look-ups name few entries of a large fleet; the reports
 	// of the others cost most of what they did at all.
 	idlePeriod = 500 * time.Millisecond
-	// busyFor is how long an entry counts as busy after its last request.
+	// busyFor is how long an entry counts as busy after it last had many requests.
 	busyFor = 2 * time.Second
 	// absentFor is how long it is believed what a hub told of absent entries.
 	absentFor = 3 * idlePeriod
@@ -47,7 +47,8 @@
 	Doubt func() (rest, left time.Duration)
 	// Leaving reports whether the own entry stops.
 	Leaving func() bool
-	// Busy reports whether the own entry has requests; nil means always.
+	// Busy reports whether the own entry carries more than a few requests; nil means
+	// always.
 	Busy func() bool
 	// Heard takes in a report. Peer names whose requests it counts.
 	Heard func(peer string, r *Report)
@@ -161,7 +162,7 @@
 	return idlePeriod
 }
 
-// idle reports whether the entry has had no requests for a while.
+// idle reports whether the entry has had few requests or none for a while.
 func (x *Exchange) idle(now time.Time) bool { return !now.Before(x.busyUntil) }
 
 // send tells whoever is due.
@@ -211,8 +212,8 @@
 		x.tell([]Peer{p}, toReporters, balance.Counted{Own: true, Peers: func(peer string) bool { return peer != p.ID && peer != others }})
 	}
 	if len(idle) > 0 && now.Sub(x.toldIdle) >= idlePeriod-nearPeriod/2 {
-		// They have no use for the loads of upstreams: once they carry requests they are
-		// told all within a period.
+		// They have little use for the loads of upstreams: once they carry more requests
+		// they are told all within a period.
 		x.toldIdle = now
 		x.tell(idle, toReporters, balance.Counted{})
 	}
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -53,7 +53,7 @@
 	Doubt, DoubtLeft time.Duration
 	// Leaving is set while the sender stops.
 	Leaving bool
-	// Idle is set while the sender has carried no request for a while. It is told less
+	// Idle is set while the sender has carried few requests for a while. It is told less
 	// often then.
 	Idle bool
 	// Absent are the hashes of the ids of entries of the sender's failure domain that stop
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,11 @@
 	// linger is how long a stopping node still takes requests: callers hold
 	// look-up answers that name it for about as long.
 	linger = 3 * time.Second
+	// lightLoad is up to how many requests at a time a node counts as idle in reports.
+	// Nodes that look-ups do not name still get one now and then, by callers whose answer
+	// is old and by checks of the configuration in force. Entries that heard of these
+	// within 0.1 s would decide nothing else than if they hear of them within 0.5 s.
+	lightLoad = 2
 	// killMargin is how long before the kill a stopping node ends by itself.
 	killMargin = 500 * time.Millisecond
 )
@@ -240,7 +245,7 @@
 		Counts:      n.counts,
 		Doubt:       n.doubt,
 		Leaving:     n.stopping.Load,
-		Busy:        func() bool { return n.Entry.Carrier.InFlight() > 0 },
+		Busy:        func() bool { return n.Entry.Carrier.InFlight() > lightLoad },
 		Heard:       n.heard,
 		Stranger:    func(from netip.AddrPort) { n.Strangers.Heard(from.String(), n.now()) },
 	}
