Take resources that a member does not tell for as good as the best

Cause: in an upgrade members of the release before tell no processor and counted as the weakest, so that the first two upgraded ones of a failure domain would have been named alone and got all its requests. Found by reading; a test fails without the change.

--- a/internal/model/strong.go
+++ b/internal/model/strong.go
@@ -47,13 +47,14 @@
 }
 
 // strength is what a member can carry as a part of the best: the least of its resources
-// decides. One that nobody tells of is taken to be the same at all.
+// decides. One that a member does not tell is taken to be no less than the best's, or in
+// an upgrade the first members that tell it would be named alone and get all requests.
 func strength(m, best Member) float64 {
 	s := 1.0
-	if best.LinkMbps > 0 {
+	if m.LinkMbps > 0 {
 		s = min(s, m.LinkMbps/best.LinkMbps)
 	}
-	if best.Cores > 0 {
+	if m.Cores > 0 {
 		s = min(s, m.Cores/best.Cores)
 	}
 	return s
--- a/internal/model/strong_test.go
+++ b/internal/model/strong_test.go
@@ -34,6 +34,22 @@
 	}
 }
 
+// TestUpgradedMembersAreNotNamedAlone has half of the members of a domain not tell what
+// processor they have.
+func TestUpgradedMembersAreNotNamedAlone(t *testing.T) {
+	var members []Member
+	for i := range 6 {
+		m := Member{ID: fmt.Sprint(i), Domain: "a", LinkMbps: 200}
+		if i < 3 {
+			m.Cores = 0.8
+		}
+		members = append(members, m)
+	}
+	if got := Strongest(members); len(got) != len(members) {
+		t.Errorf("%d of %d named", len(got), len(members))
+	}
+}
+
 // TestRetriesOfAll adds up the retries that all members may make at once: those that
 // carry most requests may make most, and all together no more than the bound.
 func TestRetriesOfAll(t *testing.T) {
