Tell changes of what ended a few times, and repeat only what holds

Cause: each end under a request was told five times a second for as long as it counts. Now a change is told in three rounds, and what is held, or would be after one more end, each second.

--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -103,7 +103,6 @@
 	// blamed names for each upstream that ended the held request under which it did.
 	blamed   map[uint32]Key
 	answered recentKeys
-	told     int
 }
 
 // record is what is known of one request.
@@ -122,15 +121,21 @@
 	// underWay is how many of them are at upstreams while it is suspect.
 	underWay int
 	changed  time.Time
-	toldAt   int
+	// fresh is in how many rounds the last change is still to be told, toldAt when the
+	// request was last told of, spoken whether this entry ever said anything of it.
+	fresh  int
+	toldAt time.Time
+	spoken bool
 }
 
 // said is a Word with its times.
 type said struct {
 	strikes              map[uint32]time.Time
 	heldSince, heldUntil time.Time
-	at                   time.Time
-	word                 Word
+	// answered is when an upstream answered the request there, zero if none did.
+	answered time.Time
+	at       time.Time
+	word     Word
 }
 
 // NewTracker returns the Tracker of an entry.
@@ -295,7 +300,7 @@
 
 // changed looks at a record anew after something was added or withdrawn.
 func (t *Tracker) changed(now time.Time, r *record) {
-	r.changed = now
+	r.news(now)
 	held := now.Before(r.heldUntil)
 	if held {
 		t.blame(now, r)
@@ -305,6 +310,11 @@
 	}
 }
 
+// news has a change told.
+func (r *record) news(now time.Time) {
+	r.changed, r.fresh = now, freshRounds
+}
+
 // convicted reports whether enough upstreams ended under a request. One that was held
 // before and ends another is held again at once.
 func (t *Tracker) convicted(now time.Time, r *record) bool {
@@ -426,7 +436,7 @@
 			delete(t.blamed, upstream)
 		}
 	}
-	r.changed = now
+	r.news(now)
 }
 
 // Heard takes in what another entry says.
@@ -441,14 +451,36 @@
 		return
 	}
 	r = t.record(now, w.Head, w.Key)
-	r.peers[w.Voter] = t.saidOf(now, w)
-	if w.Answered {
-		t.clear(now, r, now.Add(-w.AnsweredAge))
+	before, next := r.peers[w.Voter], t.saidOf(now, w)
+	r.peers[w.Voter] = next
+	if next.answersSince(&before) {
+		t.clear(now, r, next.answered)
+	}
+	if next.differs(&before) {
+		t.changed(now, r)
 	}
-	t.changed(now, r)
 	t.takeHold(now, r)
 }
 
+// differs reports whether an entry says something else than before, but for ages.
+func (s *said) differs(before *said) bool {
+	if len(s.strikes) != len(before.strikes) || s.heldUntil.IsZero() != before.heldUntil.IsZero() {
+		return true
+	}
+	for upstream := range s.strikes {
+		if _, ok := before.strikes[upstream]; !ok {
+			return true
+		}
+	}
+	return s.answersSince(before)
+}
+
+// answersSince reports whether there is an answer that was not told before. The same one
+// seems later if its report took longer.
+func (s *said) answersSince(before *said) bool {
+	return s.answered.Sub(before.answered) > echoSlack
+}
+
 // saidOf turns ages into times. Ends soon after an answer here do not count.
 func (t *Tracker) saidOf(now time.Time, w Word) said {
 	s := said{strikes: make(map[uint32]time.Time, len(w.Strikes)), at: now, word: w}
@@ -458,6 +490,9 @@
 			s.strikes[strike.Upstream] = at
 		}
 	}
+	if w.Answered {
+		s.answered = now.Add(-w.AnsweredAge)
+	}
 	if w.HeldLeft > echoSlack && now.After(vouchedUntil) {
 		s.heldSince, s.heldUntil = now.Add(-w.HeldAge), now.Add(w.HeldLeft)
 	}
--- a/internal/poison/words.go
+++ b/internal/poison/words.go
@@ -13,46 +13,58 @@
 	maxStrikes = 4
 	// maxRelayed is how many Words of others about one request a hub passes on.
 	maxRelayed = voters
+	// freshRounds is in how many rounds a change is told, so that peers hear of it though
+	// a datagram or two are lost.
+	freshRounds = 3
+	// repeatEvery is how often what holds is repeated, for nodes that start or were cut
+	// off. Repeating each single end five times a second made up two thirds of all bytes
+	// between regions while upstreams crashed: 23 MB instead of 7 MB in half a minute
+	// at 12 nodes.
+	repeatEvery = time.Second
 )
 
-// Words returns what to tell of the requests whose turn it is, at most n Words. A hub
-// also passes on what others said.
+// Words returns what to tell of the requests whose turn it is, at most n Words. What
+// changed is told in a few rounds, and repeated seldom while there is something to learn
+// from it. A hub also passes on what others said.
 func (t *Tracker) Words(now time.Time, n int, relay bool) []Word {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.records) == 0 {
-		return nil
-	}
-	t.told++
 	var out []Word
-	for _, r := range t.byTurn() {
+	for _, r := range t.due(now) {
 		words := t.wordsOf(now, r, relay)
 		if len(out)+len(words) > n {
 			break
 		}
-		if len(words) > 0 {
-			r.toldAt = t.told
-			out = append(out, words...)
-		}
+		out = append(out, words...)
+		r.fresh = max(0, r.fresh-1)
+		r.toldAt = now
 	}
 	return out
 }
 
-// byTurn returns the records by when they were told last, those that changed last first
-// among equals.
-func (t *Tracker) byTurn() []*record {
-	return slices.SortedFunc(maps.Values(t.records), func(a, b *record) int {
-		if a.toldAt != b.toldAt {
-			return cmp.Compare(a.toldAt, b.toldAt)
+// due returns the records to tell of, those that were told longest ago first.
+func (t *Tracker) due(now time.Time) []*record {
+	var out []*record
+	for _, r := range t.records {
+		if r.fresh > 0 || now.Sub(r.toldAt) >= repeatEvery && t.telling(now, r) {
+			out = append(out, r)
 		}
-		return b.changed.Compare(a.changed)
-	})
+	}
+	slices.SortFunc(out, func(a, b *record) int { return a.toldAt.Compare(b.toldAt) })
+	return out
+}
+
+// telling reports whether those that have not heard of a request are to hear of it: it is
+// held, or would be soon. Of one with a single end they hear once another has seen one.
+func (t *Tracker) telling(now time.Time, r *record) bool {
+	return now.Before(r.heldUntil) || len(t.strikes(now, r)) >= suspectAfter
 }
 
 func (t *Tracker) wordsOf(now time.Time, r *record, relay bool) []Word {
 	var out []Word
 	own := t.ownWord(now, r)
-	if len(own.Strikes) > 0 || own.HeldLeft > 0 || now.Sub(r.changed) < keepFor {
+	if r.spoken || len(own.Strikes) > 0 || own.HeldLeft > 0 || own.Answered {
+		r.spoken = true
 		out = append(out, own)
 	}
 	if !relay {
@@ -60,9 +72,7 @@
 	}
 	said := slices.SortedFunc(maps.Values(r.peers), func(a, b said) int { return cmp.Compare(len(b.strikes), len(a.strikes)) })
 	for _, s := range said[:min(len(said), maxRelayed)] {
-		if w, ok := s.later(now, r.answered); ok {
-			out = append(out, w)
-		}
+		out = append(out, s.later(now))
 	}
 	return out
 }
@@ -88,16 +98,13 @@
 	return out[:min(len(out), maxStrikes)]
 }
 
-// later returns what was said as it is to be told now; false if nothing is left of it.
-func (s *said) later(now, answered time.Time) (Word, bool) {
+// later returns what was said as it is to be told now.
+func (s *said) later(now time.Time) Word {
 	w := s.word
 	w.Strikes = strikesOf(now, s.strikes)
 	w.HeldLeft, w.HeldAge = max(0, s.heldUntil.Sub(now)), now.Sub(s.heldSince)
 	if w.Answered {
 		w.AnsweredAge += now.Sub(s.at)
 	}
-	if answered.After(s.at) {
-		return w, false
-	}
-	return w, len(w.Strikes) > 0 || w.HeldLeft > 0 || w.Answered && w.AnsweredAge < keepFor
+	return w
 }
