Let the test entries forget silent peers as the balancer does; bound their waits

Traced: 4 of 30 runs of TestIdleEntryLearnsOfAllOnceBusy, six at a time, waited for ever. In each a test entry counted what a hub had said that had been silent for 1.6 to 3.1 s (hubs change while entries go idle), or the sum of a hub that did. The balancer drops such a peer after 1 s (peerFresh); the test's double did not. Ruled out: load (2 of 12 hung on an idle machine).

--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -113,8 +113,9 @@
 	peer Peer
 	stop context.CancelFunc
 	mu   sync.Mutex
-	// heard is what each peer was said to have at the upstream.
-	heard map[string]int
+	// heard is what each peer was said to have at the upstream, heardAt when.
+	heard   map[string]int
+	heardAt map[string]time.Time
 	// gone are entries whose last reports may still arrive.
 	gone    map[string]bool
 	changed chan struct{}
@@ -131,6 +132,7 @@
 	if w.Own && !e.idle.Load() {
 		n = 1
 	}
+	e.forgetSilent()
 	for peer, at := range e.heard {
 		if w.Peers != nil && w.Peers(peer) {
 			n += at
@@ -145,7 +147,7 @@
 	if e.gone[r.Entry] {
 		return
 	}
-	e.heard[peer] = 0
+	e.heard[peer], e.heardAt[peer] = 0, time.Now()
 	for _, c := range r.Counts {
 		e.heard[peer] += c.Requests
 	}
@@ -159,6 +161,7 @@
 func (e *entry) others() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.forgetSilent()
 	sum := 0
 	for _, n := range e.heard {
 		sum += n
@@ -166,6 +169,24 @@
 	return sum
 }
 
+// peerFresh is after what time without a report a peer counts for nothing, as it does in
+// the balancer.
+const peerFresh = time.Second
+
+// forgetSilent drops what peers said that have been silent. While hubs change, one that
+// was given up has spoken before of what another now speaks of: without this a count
+// stayed too high for ever in 4 of 30 runs, each time by what a hub had said that had been
+// silent for 1.6 s to 3.1 s, or by the sum of a hub that had heard it. The caller holds
+// the lock.
+func (e *entry) forgetSilent() {
+	for peer, at := range e.heardAt {
+		if time.Since(at) >= peerFresh {
+			delete(e.heard, peer)
+			delete(e.heardAt, peer)
+		}
+	}
+}
+
 // forget drops what a hub said, as the balancer does with one that is silent, also what
 // is still on its way: as nothing follows it, it would count for ever.
 func (e *entry) forget(hub string) {
@@ -204,7 +225,7 @@
 	var exchanges []*Exchange
 	for _, domain := range []string{"d1", "d2"} {
 		for i := range each {
-			e := &entry{heard: make(map[string]int), gone: make(map[string]bool), changed: make(chan struct{}, 1)}
+			e := &entry{heard: make(map[string]int), heardAt: make(map[string]time.Time), gone: make(map[string]bool), changed: make(chan struct{}, 1)}
 			e.peer = Peer{ID: fmt.Sprint(domain, "-", i), Domain: domain, Near: true}
 			x, err := Listen(Options{
 				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Leaving: func() bool { return false }, Stranger: func(netip.AddrPort) {},
@@ -245,12 +266,19 @@
 	return f
 }
 
+// untilBound is how long the reports may take. Hubs are given up after up to 1.5 s, and
+// passed over for 3 s.
+const untilBound = 20 * time.Second
+
+// until waits until the entry knows of a number of requests of others.
 func (e *entry) until(t *testing.T, want int) {
 	t.Helper()
+	bound := time.After(untilBound)
 	for e.others() != want {
 		select {
 		case <-e.changed:
-		case <-t.Context().Done():
+		case <-time.After(pollEvery):
+		case <-bound:
 			t.Fatalf("%s knows of %d requests, want %d", e.peer.ID, e.others(), want)
 		}
 	}
