One clock for the node that goes on while the machine is suspended

Cause: all decisions went by the steady clock, which misses a suspension, so that after one everything known looked as fresh as before it. The node now has one clock: the steady one, ahead by what the boot clock shows it has missed, looked at with each request, report and round. By it go the deadlines of requests (a timer meets one too late, so that a tick ends those that have passed), resting connections, ages of reports and of peers, kept entries, losses of the store, cold bounds and holds. Reading the boot clock costs a system call, hence not in each decision.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -19,6 +19,7 @@
 	urfave "github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/loomkeel/loomkeel/internal/bootclock"
 	"github.com/loomkeel/loomkeel/internal/cli"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/inflight"
@@ -90,6 +91,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	stop, cancel := process.Signals(ctx)
 	defer cancel()
+	clock := bootclock.NewClock()
 	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, s.Peer, time.Now())
 	self.LinkMbps, self.Cores = s.LinkMbps, s.Cores
 	n := node.New(view.Options{
@@ -97,14 +99,14 @@
 		Regions: s.Regions,
 		Rejoin:  rejoin,
 		Policy:  policy(s.Bounds),
-	}, forward.Options{Self: s.ID, Domain: s.Domain, Room: room, Now: time.Now, Protocol: platform.Protocol{}, DialTimeout: dialTimeout})
+	}, forward.Options{Self: s.ID, Domain: s.Domain, Room: room, Now: clock.Now, Check: clock.Check, Protocol: platform.Protocol{}, DialTimeout: dialTimeout})
 
 	store := platform.NewStore(s.Store)
 	dialer := rpc.NewDialer(nil, nil)
 	feed := platform.NewFeed(platform.FeedOptions{
-		Store: store, Apply: n.Apply, Self: self, Members: n.Members,
-		Peers:     relay.NewClient(dialer, time.Now),
-		Strangers: func() []relay.Source { return n.Strangers.Sources(time.Now()) },
+		Store: store, Apply: n.Apply, Self: self, Members: n.Members, Now: clock.Check,
+		Peers:     relay.NewClient(dialer, clock.Now),
+		Strangers: func() []relay.Source { return n.Strangers.Sources(clock.Now()) },
 	})
 	registrar, err := platform.NewRegistrar(store, feed, self, s.Store.MinLease)
 	if err != nil {
@@ -114,12 +116,12 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Peer)
 	}
-	named := func() []model.Member { return n.Named(exchange.Absent(time.Now())) }
+	named := func() []model.Member { return n.Named(exchange.Absent(clock.Now())) }
 	metrics.Publish("store", func() any { return store.Calls() })
 	if err := listen(n, named, s); err != nil {
 		return err
 	}
-	if err := serveRelay(ctx, s.Peer, feed.Cache()); err != nil {
+	if err := serveRelay(ctx, s.Peer, feed.Cache(), clock.Now); err != nil {
 		return err
 	}
 	klog.InfoS("node started", "id", s.ID, "entry", s.Entry, "store", s.Store.Address)
@@ -186,12 +188,12 @@
 }
 
 // serveRelay lets other nodes follow what this one has read from the store.
-func serveRelay(ctx context.Context, addr string, cache *relay.Cache) error {
+func serveRelay(ctx context.Context, addr string, cache *relay.Cache, now func() time.Time) error {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", addr)
 	}
-	mux, err := relay.NewMux(cache, time.Now)
+	mux, err := relay.NewMux(cache, now)
 	if err != nil {
 		return eris.Wrap(err, "relay")
 	}
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -47,8 +47,9 @@
 	// DialTimeout bounds the wait for a connection to an upstream; 0 means the
 	// usual bound.
 	DialTimeout time.Duration
-	// Now is the clock.
-	Now func() time.Time
+	// Now is the clock, Check the same after it was looked whether the machine was
+	// suspended meanwhile; nil means Now.
+	Now, Check func() time.Time
 	// Rand returns the source for the random choices of one decision; nil means
 	// one seeded from the process's own.
 	Rand func() *rand.Rand
@@ -97,6 +98,7 @@
 	lanes     map[string]*lane
 	splits    *splits
 	poison    *poison.Tracker
+	deadlines *deadlines
 }
 
 // lane is the state of one service.
@@ -117,10 +119,13 @@
 	if opt.Transport == nil {
 		opt.Transport = NewPool(PoolOptions{TLS: opt.TLS, DialTimeout: opt.DialTimeout, Now: opt.Now, Mine: opt.Protocol.Mine})
 	}
+	if opt.Check == nil {
+		opt.Check = opt.Now
+	}
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self)}
+	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self), deadlines: newDeadlines()}
 	if opt.TLS != nil {
 		c.scheme = "https"
 	}
@@ -208,7 +213,7 @@
 func (c *Carrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	start := c.now()
+	start := c.opt.Check()
 	out := Outcome{}
 	defer func() {
 		out.Took = c.now().Sub(start)
@@ -260,8 +265,8 @@
 		// it ends in a known state at its upstream.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, cl.deadline)
-	defer cancel()
+	ctx, release := c.deadlines.with(ctx, c.now(), cl.deadline)
+	defer release()
 	if refused := c.begin(ctx, cl); refused != nil {
 		c.refuse(w, out, refusalFor(refused, verdict.NotRun))
 		return
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -77,8 +77,13 @@
 	}
 }
 
-// Forget drops what is known of such requests and holds no more.
-func (c *Carrier) Forget() { c.poison.Forget(c.now()) }
+// Tick drops what is known of such requests and holds no more, and ends requests whose
+// deadline has passed while the machine was suspended. It is called every now and then.
+func (c *Carrier) Tick() {
+	now := c.opt.Check()
+	c.deadlines.expire(now)
+	c.poison.Forget(now)
+}
 
 // Poison returns how many such requests are known.
 func (c *Carrier) Poison() poison.Status { return c.poison.Status(c.now()) }
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -51,6 +51,8 @@
 	Words func(n int, relay bool) []poison.Word
 	// Leaving reports whether the own entry stops.
 	Leaving func() bool
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 	// Busy reports whether the own entry carries more than a few requests; nil means
 	// always.
 	Busy func() bool
@@ -94,6 +96,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
 	if opt.Words == nil {
 		opt.Words = func(int, bool) []poison.Word { return nil }
 	}
@@ -144,8 +149,9 @@
 	for {
 		select {
 		case <-tick.C:
-			x.send(time.Now())
-			if next := x.period(time.Now()); next != period {
+			now := x.opt.Now()
+			x.send(now)
+			if next := x.period(now); next != period {
 				period = next
 				tick.Reset(period)
 			}
@@ -317,7 +323,7 @@
 			klog.V(1).InfoS("report refused", "from", from, "err", err)
 			continue
 		}
-		x.take(r, from, time.Now())
+		x.take(r, from, x.opt.Now())
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	// Strangers are entries that report to this one without being known.
 	Strangers *relay.Strangers
 	now       func() time.Time
+	// check is now after a look whether the machine was suspended meanwhile.
+	check func() time.Time
 
 	mu      sync.Mutex
 	view    *view.View
@@ -64,7 +66,10 @@
 
 // New returns a Node that refuses everything until it is synced.
 func New(opt view.Options, carrier forward.Options) *Node {
-	n := &Node{Entry: entry.New(carrier), Strangers: relay.NewStrangers(), now: carrier.Now, view: view.New(opt)}
+	n := &Node{Entry: entry.New(carrier), Strangers: relay.NewStrangers(), now: carrier.Now, check: carrier.Check, view: view.New(opt)}
+	if n.check == nil {
+		n.check = n.now
+	}
 	n.members.Store(new([]model.Member))
 	return n
 }
@@ -146,7 +151,7 @@
 }
 
 func (n *Node) dropLapsed() {
-	n.Entry.Carrier.Forget()
+	n.Entry.Carrier.Tick()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	kept := n.view.Kept()
@@ -253,6 +258,7 @@
 		Leaving:     n.stopping.Load,
 		Busy:        func() bool { return n.Entry.Carrier.InFlight() > lightLoad },
 		Heard:       n.heard,
+		Now:         n.check,
 		Stranger:    func(from netip.AddrPort) { n.Strangers.Heard(from.String(), n.now()) },
 	}
 }
