--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/poison"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
@@ -119,6 +120,8 @@
 	// gone are entries whose last reports may still arrive.
 	gone    map[string]bool
 	changed chan struct{}
+	// tracker is told what others say of requests that end upstreams.
+	tracker *poison.Tracker
 	// idle is set if the entry carries no requests.
 	idle atomic.Bool
 }
@@ -142,6 +145,12 @@
 }
 
 func (e *entry) take(peer string, r *Report) {
+	for _, w := range r.Words {
+		e.tracker.Heard(time.Now(), w)
+	}
+	if r.Scope == ScopeNone {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.gone[r.Entry] {
@@ -227,9 +236,11 @@
 		for i := range each {
 			e := &entry{heard: make(map[string]int), heardAt: make(map[string]time.Time), gone: make(map[string]bool), changed: make(chan struct{}, 1)}
 			e.peer = Peer{ID: fmt.Sprint(domain, "-", i), Domain: domain, Near: true}
+			e.tracker = poison.NewTracker(e.peer.ID)
 			x, err := Listen(Options{
 				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Leaving: func() bool { return false }, Stranger: func(netip.AddrPort) {},
 				Fleet: func() Fleet { return fleetFor(e, all) },
+				Words: func(n int, relay bool) []poison.Word { return e.tracker.Words(time.Now(), n, relay) },
 				Busy:  func() bool { return !e.idle.Load() },
 			})
 			if err != nil {
--- a/internal/inflight/word_test.go
+++ b/internal/inflight/word_test.go
@@ -79,3 +79,29 @@
 		t.Error("a report from another address is taken")
 	}
 }
+
+// TestWordsReachAllThroughHubs has upstreams end under a request at entries of two failure
+// domains of a fleet that is too large for direct reports: all entries hold it, those that
+// carry nothing among them.
+func TestWordsReachAllThroughHubs(t *testing.T) {
+	const each = maxDirect/2 + 2
+	all := startFleet(t, each)
+	for i, e := range all {
+		e.idle.Store(i%3 == 0)
+	}
+	req := poison.Request{Method: "GET", Host: "a", Target: "/deadly"}
+	keys := req.Head()
+	for i, at := range []int{1, each + 1, each + 2} {
+		all[at].tracker.Broke(time.Now(), keys, keys, uint32(i))
+	}
+	bound := time.Now().Add(untilBound)
+	for _, e := range all {
+		for !e.tracker.Begin(time.Now(), keys).Held {
+			e.tracker.End(keys)
+			if time.Now().After(bound) {
+				t.Fatalf("not held at %s", e.peer.ID)
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+}
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -11,6 +11,8 @@
 	pkgProofs  = "./test/proofs"
 	// pkgPlatform is the adapter.
 	pkgPlatform = "./platform"
+	pkgPoison   = "./internal/poison"
+	pkgReports  = "./internal/inflight"
 )
 
 var ablations = []ablation{
@@ -153,4 +155,30 @@
 		"if s.Revision <= l.revision {\n\t\treturn false", "if false {\n\t\treturn false", pkgLog, "NeverFalls", nil},
 	{"holding a move without reports", "internal/shift/shift.go",
 		"if !first && in.Now.Sub(in.Seen(mv.To)) > freshFor {", "if false {", "./internal/shift", "Held", nil},
+	{"holding requests under which upstreams ended", "internal/forward/broken.go",
+		"if d.Held {\n\t\treturn verdict.New", "if false {\n\t\treturn verdict.New", pkgForward, "RefusedAtOnce", nil},
+	{"an answer clears a request", "internal/poison/tracker.go",
+		"r.answered = answered\n", "return\n", pkgPoison, "Clears|NoHold", nil},
+	{"a recent answer vouches for a request", "internal/poison/tracker.go",
+		"if now.Sub(t.answered.at(key)) < vouchFor {", "if false {", pkgPoison, "Vouches", nil},
+	{"ends under a held request count against no other", "internal/poison/tracker.go",
+		"t.blamed[upstream] = r.key", "_ = upstream", pkgPoison, "AgainstNoOther", nil},
+	{"two entries must have seen the ends", "internal/poison/tracker.go",
+		"return own >= heldAfter || t.witnesses(r, strikes) >= voters", "return true", pkgPoison, "OnePeers", nil},
+	{"connections that broke are no ends", "internal/poison/tracker.go",
+		"if ok && sent.After(at) && now.Sub(at) < refuteWithin {", "if false && ok {", pkgPoison, "BrokenConnections", nil},
+	{"suspects come one at a time", "internal/poison/tracker.go",
+		"if r.underWay > 0 {\n\t\t\t\td.Held", "if false {\n\t\t\t\td.Held", pkgPoison, "OneAtATime", nil},
+	{"what holds is told to newcomers", "internal/poison/tracker.go",
+		"t.changed(now, r)\n\t}\n\tt.takeHold(now, r)", "t.changed(now, r)\n\t}", pkgPoison, "Newcomer", nil},
+	{"holds end at one entry after the other", "internal/poison/tracker.go",
+		"r.heldUntil = now.Add(lengthOf(r.holds) + t.spread(r.key))", "r.heldUntil = now.Add(lengthOf(r.holds))", pkgPoison, "OneEntryAfter", nil},
+	{"hubs pass on what others said", "internal/poison/words.go",
+		"if !relay {", "if true || !relay {", pkgReports, "WordsReach", nil},
+	{"an entry speaks for itself alone", "internal/inflight/exchange.go",
+		"return w.Voter != sender", "return false && w.Voter != sender", pkgReports, "ItselfAlone", nil},
+	{"deadlines that a suspension passes", "internal/forward/deadline.go",
+		"if !now.Before(e.at) {", "if false {", pkgForward, "DeadlinePasses", nil},
+	{"the boot clock goes on", "internal/bootclock/clock.go",
+		"c.missed.Store(int64(missed))", "_ = missed", pkgForward, "Suspen", nil},
 }
