--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -165,7 +165,7 @@
 		}
 		r := t.record(now, head.All()[i], key)
 		r.own[upstream] = now
-		t.changed(now, r)
+		t.review(now, r)
 	}
 	return t.decide(now, keys)
 }
@@ -192,7 +192,7 @@
 		at, ok := r.own[upstream]
 		if ok && sent.After(at) && now.Sub(at) < refuteWithin {
 			delete(r.own, upstream)
-			t.changed(now, r)
+			t.review(now, r)
 		}
 	}
 }
@@ -298,8 +298,8 @@
 	return 0
 }
 
-// changed looks at a record anew after something was added or withdrawn.
-func (t *Tracker) changed(now time.Time, r *record) {
+// review looks at a record anew after something was added or withdrawn.
+func (t *Tracker) review(now time.Time, r *record) {
 	r.news(now)
 	held := now.Before(r.heldUntil)
 	if held {
@@ -457,7 +457,7 @@
 		t.clear(now, r, next.answered)
 	}
 	if next.differs(&before) {
-		t.changed(now, r)
+		t.review(now, r)
 	}
 	t.takeHold(now, r)
 }
