Hold the key of the caller before that of anybody

Cause: of the two keys of a request that of anybody was held first, so that one caller's requests that end upstreams had all others refused who ask for the same, unless an answer to them was less than 10 s old. Now the caller's key comes first, here and in what is told, and its hold explains the ends; that of anybody is held if the ends were made by several callers. Tests: one caller is held alone; many callers of one request are all refused.

--- a/internal/poison/key.go
+++ b/internal/poison/key.go
@@ -35,8 +35,9 @@
 // requests end upstreams; nor may a caller with many addresses go unseen.
 type Keys struct{ Anyone, Caller Key }
 
-// All returns both keys.
-func (k Keys) All() [2]Key { return [2]Key{k.Anyone, k.Caller} }
+// All returns both keys, that of the caller first: if the ends are of one caller's making,
+// it alone is to be held.
+func (k Keys) All() [2]Key { return [2]Key{k.Caller, k.Anyone} }
 
 // Head returns the keys without the body, which are known before any of it is read.
 func (r *Request) Head() Keys {
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -103,6 +103,7 @@
 	// blamed names for each upstream that ended the held request under which it did.
 	blamed   map[uint32]Key
 	answered recentKeys
+	made     uint64
 }
 
 // record is what is known of one request.
@@ -126,6 +127,8 @@
 	fresh  int
 	toldAt time.Time
 	spoken bool
+	// order is that in which the records were made.
+	order uint64
 }
 
 // said is a Word with its times.
@@ -262,6 +265,8 @@
 		t.drop(t.least(now))
 	}
 	r = &record{key: key, head: head, own: make(map[uint32]time.Time), peers: make(map[uint32]said), changed: now}
+	t.made++
+	r.order = t.made
 	t.records[key] = r
 	t.heads[head]++
 	return r
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -148,6 +148,35 @@
 	}
 }
 
+// TestACallerIsHeldAlone has one caller's requests to a path end upstreams, which others
+// ask for so seldom that no answer vouches for them.
+func TestACallerIsHeldAlone(t *testing.T) {
+	f, k, others := newFleet(4), keysOf("/same", "bad"), keysOf("/same", "good")
+	for i := range 3 {
+		f[i].Broke(at(0), k, k, uint32(i))
+	}
+	f.talk(at(0))
+	if n := f.held(at(0), k); n != len(f) {
+		t.Errorf("held at %d of %d entries", n, len(f))
+	}
+	if n := f.held(at(0), others); n != 0 {
+		t.Errorf("others are refused at %d entries", n)
+	}
+}
+
+// TestManyCallersOfOneRequest has each end made by another caller.
+func TestManyCallersOfOneRequest(t *testing.T) {
+	f := newFleet(4)
+	for i := range 3 {
+		k := keysOf("/deadly", fmt.Sprint("c", i))
+		f[i].Broke(at(0), k, k, uint32(i))
+	}
+	f.talk(at(0))
+	if n := f.held(at(0), keysOf("/deadly", "another")); n != len(f) {
+		t.Errorf("held at %d of %d entries", n, len(f))
+	}
+}
+
 // TestEndsUnderAHeldRequestCountAgainstNoOther has requests under way beside one that
 // ends upstream after upstream.
 func TestEndsUnderAHeldRequestCountAgainstNoOther(t *testing.T) {
--- a/internal/poison/words.go
+++ b/internal/poison/words.go
@@ -42,7 +42,9 @@
 	return out
 }
 
-// due returns the records to tell of, those that were told longest ago first.
+// due returns the records to tell of, those that were told longest ago first, and among
+// equals those that were made first: a caller's is to be held before that of anybody
+// everywhere.
 func (t *Tracker) due(now time.Time) []*record {
 	var out []*record
 	for _, r := range t.records {
@@ -50,7 +52,12 @@
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b *record) int { return a.toldAt.Compare(b.toldAt) })
+	slices.SortFunc(out, func(a, b *record) int {
+		if c := a.toldAt.Compare(b.toldAt); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.order, b.order)
+	})
 	return out
 }
 
