Let a request go on to a third upstream after two ends; bound the voters of one

TestPhotographOverACutLink and TestReportsFrozenAtIdle: a request under which two upstreams seemed to end was no longer sent on in the node's own name, so that behind a link which cuts all answers of a region it got 502 where another region had served it. A suspect is now sent on as before, one at a time; only a held request is not. Also: words of at most 32 entries are remembered about one request.

--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -56,7 +56,8 @@
 }
 
 // noteBroken records an attempt that broke off as if its upstream had ended. It reports
-// whether the request must not be sent on. The line tells what the request is, by the
+// whether the request must not be sent on. After two ends it may be: behind a link that
+// cuts all answers of a region, the third upstream, of another region, serves it. The line tells what the request is, by the
 // keys, whatever id its tries have.
 func (c *Carrier) noteBroken(ctx context.Context, cl *call, to balance.Choice, err *verdict.Error) bool {
 	if err.Reason != reasonBroken || err.Verdict != verdict.MayHaveRun || !closedByPeer(err) {
@@ -75,7 +76,7 @@
 		klog.InfoS("upstream broke off", "request", cl.ID, "key", uint64(keys.Anyone), "caller_key", uint64(keys.Caller),
 			"upstream", to.ID, "born", to.Born, "under_way", now.Sub(to.Picked), "suspect", d.Suspect, "held", d.Held, "err", err, "left_out", left)
 	}
-	return d.Held || d.Suspect
+	return d.Held
 }
 
 // closedByPeer reports whether a connection broke because the upstream's end of it was
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -15,8 +15,7 @@
 	// way there, and a caller that tries again may meet a second of a failure domain that
 	// is lost.
 	heldAfter = 3
-	// suspectAfter is from how many on a request comes one at a time, and is not sent on
-	// to another upstream in the entry's own name.
+	// suspectAfter is from how many on a request comes one at a time.
 	suspectAfter = 2
 	// voters is how many entries must have seen such an end: the word of one alone,
 	// mistaken or forged, turns no caller away. An entry that has seen all itself needs
@@ -49,6 +48,10 @@
 	// maxRecords bounds the requests that are remembered. Some thirty are under way at an
 	// upstream that ends; a region of a large fleet may lose dozens at once.
 	maxRecords = 1024
+	// maxVoters bounds the entries whose words about one request are remembered: many more
+	// than it takes, and few enough that a hub which speaks for entries that do not exist
+	// fills no memory.
+	maxVoters = 32
 	// keepFor is how long a request is remembered after there is nothing against it any
 	// more, so that peers hear of it.
 	keepFor = 5 * time.Second
@@ -206,6 +209,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.decide(now, keys)
+	if d.Suspect && !d.Held && t.busy(keys) {
+		d.Held, d.RetryAfter = true, suspectRetry
+	}
 	if d.Held {
 		return d
 	}
@@ -246,15 +252,22 @@
 			d.RetryAfter = max(d.RetryAfter, r.heldUntil.Sub(now))
 		case len(r.own) > 0 && len(t.strikes(now, r)) >= suspectAfter:
 			d.Suspect = true
-			if r.underWay > 0 {
-				d.Held = true
-				d.RetryAfter = max(d.RetryAfter, suspectRetry)
-			}
 		}
 	}
 	return d
 }
 
+// busy reports whether a request with one of the keys is at an upstream. The caller holds
+// the lock.
+func (t *Tracker) busy(keys Keys) bool {
+	for _, key := range keys.All() {
+		if r := t.records[key]; r != nil && r.underWay > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // record returns the record of a request, or makes one. The caller holds the lock.
 func (t *Tracker) record(now time.Time, head, key Key) *record {
 	r := t.records[key]
@@ -456,7 +469,11 @@
 		return
 	}
 	r = t.record(now, w.Head, w.Key)
-	before, next := r.peers[w.Voter], t.saidOf(now, w)
+	before, known := r.peers[w.Voter]
+	if !known && len(r.peers) >= maxVoters {
+		return
+	}
+	next := t.saidOf(now, w)
 	r.peers[w.Voter] = next
 	if next.answersSince(&before) {
 		t.clear(now, r, next.answered)
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -324,6 +324,12 @@
 	if s := tr.Status(at(time.Second)); s.Remembered > maxRecords {
 		t.Errorf("%d remembered", s.Remembered)
 	}
+	for i := range 3 * maxVoters {
+		tr.Heard(at(time.Second), Word{Key: k.Anyone, Head: k.Anyone, Voter: uint32(i), HeldLeft: time.Hour})
+	}
+	if n := len(tr.records[k.Anyone].peers); n > maxVoters {
+		t.Errorf("the words of %d entries are remembered", n)
+	}
 	if d := tr.Begin(at(time.Second), k); !d.Held {
 		t.Error("what was held is forgotten")
 	}
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -168,7 +168,7 @@
 	{"connections that broke are no ends", "internal/poison/tracker.go",
 		"if ok && sent.After(at) && now.Sub(at) < refuteWithin {", "if false && ok && sent.After(at) {", pkgPoison, "BrokenConnections", nil},
 	{"suspects come one at a time", "internal/poison/tracker.go",
-		"if r.underWay > 0 {\n\t\t\t\td.Held", "if false {\n\t\t\t\td.Held", pkgPoison, "OneAtATime", nil},
+		"if d.Suspect && !d.Held && t.busy(keys) {", "if false && t.busy(keys) {", pkgPoison, "OneAtATime", nil},
 	{"what holds is told to newcomers", "internal/poison/tracker.go",
 		"t.review(now, r)\n\t}\n\tt.takeHold(now, r)", "t.review(now, r)\n\t}", pkgPoison, "Newcomer", nil},
 	{"holds end at one entry after the other", "internal/poison/tracker.go",
