--- a/internal/forward/suspended_test.go
+++ b/internal/forward/suspended_test.go
@@ -67,8 +67,13 @@
 	}
 	clock.sleep(30 * time.Second)
 	e.Tick()
-	if a := <-answered; a.status != http.StatusGatewayTimeout {
-		t.Errorf("status %d", a.status)
+	select {
+	case a := <-answered:
+		if a.status != http.StatusGatewayTimeout {
+			t.Errorf("status %d", a.status)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("not answered before the steady clock reaches the deadline")
 	}
 }
 
