--- a/internal/forward/suspended_test.go
+++ b/internal/forward/suspended_test.go
@@ -40,7 +40,8 @@
 		Room: 100, Now: clock.Now, Check: clock.Check, Book: share.NewBook(), Boot: func() int64 { return 0 },
 		NewID: func() string { return "own" }, Observe: func(Outcome) {},
 	})
-	in := model.Input{Region: "muscat", Revision: 1, Tree: new(tree.Tree)}
+	deadline := tree.Edit{Path: "/services/orders", Key: tree.KeyDeadline, Value: "1m"}
+	in := model.Input{Region: "muscat", Revision: 1, Tree: new(tree.Tree).Apply([]tree.Edit{deadline}, 1)}
 	in.Members = []membership.Member{{ID: "n1", State: membership.Alive, Region: "muscat", Entry: "10.0.0.1:80"}}
 	in.Directory.Upstreams = []model.Upstream{{ID: "u0", Service: "orders", Region: "muscat", Domain: "a", Address: f.lis.Addr().String(), Slots: 4}}
 	c.Update(model.Compile(in))
@@ -65,7 +66,7 @@
 		t.Fatalf("answered with %d before", a.status)
 	case <-time.After(50 * time.Millisecond):
 	}
-	clock.sleep(30 * time.Second)
+	clock.sleep(2 * time.Minute)
 	e.Tick()
 	select {
 	case a := <-answered:
