Names of the field for what is remembered of requests; the tracker in four files

Crashes for strikes, claims for words, sources and quorum for voters, explained for blamed; judge.go and peers.go hold what tracker.go had grown by.

--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -66,11 +66,11 @@
 	}
 }
 
-// Words returns what to tell other entries of requests under which upstreams ended.
-func (c *Carrier) Words(n int, relay bool) []poison.Word { return c.poison.Words(c.now(), n, relay) }
+// Claims returns what to tell other entries of requests under which upstreams ended.
+func (c *Carrier) Claims(n int, relay bool) []poison.Claim { return c.poison.Claims(c.now(), n, relay) }
 
-// HeardWords takes in what other entries told of such requests.
-func (c *Carrier) HeardWords(words []poison.Word) {
+// HeardClaims takes in what other entries told of such requests.
+func (c *Carrier) HeardClaims(words []poison.Claim) {
 	now := c.now()
 	for _, w := range words {
 		c.poison.Heard(now, w)
--- a/internal/inflight/word.go
+++ b/internal/inflight/claim.go
@@ -8,48 +8,48 @@
 	"github.com/loomkeel/loomkeel/internal/poison"
 )
 
-// Fields of the encoding of a poison.Word.
+// Fields of the encoding of a poison.Claim.
 const (
 	fieldKey      = 1
 	fieldHead     = 2
-	fieldVoter    = 3
-	fieldStrikes  = 4
+	fieldSource   = 3
+	fieldCrashes  = 4
 	fieldHeldLeft = 5
 	fieldAnswered = 6
 	fieldHeldAge  = 7
 )
 
 const (
-	// maxWords is how many Words one report has, so that it fits a datagram; one takes up
+	// maxClaims is how many Claims one report has, so that it fits a datagram; one takes up
 	// to 68 bytes.
-	maxWords = 20
-	// wordsPerRound is how many Words are told in one far period. With a hundred requests
+	maxClaims = 20
+	// claimsPerRound is how many Claims are told in one far period. With a hundred requests
 	// that end upstreams, which have two keys each, each is told within 2 s.
-	wordsPerRound = 3 * maxWords
-	// maxWordStrikes bounds the strikes that are taken from one Word.
-	maxWordStrikes = 8
-	// maxWordTime bounds the times of a Word in milliseconds.
-	maxWordTime = 2 * 60 * 60 * 1000
+	claimsPerRound = 3 * maxClaims
+	// maxClaimCrashes bounds the crashes that are taken from one Claim.
+	maxClaimCrashes = 8
+	// maxClaimTime bounds the times of a Claim in milliseconds.
+	maxClaimTime = 2 * 60 * 60 * 1000
 )
 
-// appendWord adds the encoding of a Word. Times are in whole milliseconds.
-func appendWord(b []byte, w *poison.Word) []byte {
+// appendClaim adds the encoding of a Claim. Times are in whole milliseconds.
+func appendClaim(b []byte, w *poison.Claim) []byte {
 	b = protowire.AppendTag(b, fieldKey, protowire.Fixed64Type)
 	b = protowire.AppendFixed64(b, uint64(w.Key))
 	if w.Head != w.Key {
 		b = protowire.AppendTag(b, fieldHead, protowire.Fixed64Type)
 		b = protowire.AppendFixed64(b, uint64(w.Head))
 	}
-	b = protowire.AppendTag(b, fieldVoter, protowire.Fixed32Type)
-	b = protowire.AppendFixed32(b, w.Voter)
-	if len(w.Strikes) > 0 {
-		var strikes []byte
-		for _, s := range w.Strikes {
-			strikes = protowire.AppendFixed32(strikes, s.Upstream)
-			strikes = protowire.AppendVarint(strikes, millis(s.Age))
+	b = protowire.AppendTag(b, fieldSource, protowire.Fixed32Type)
+	b = protowire.AppendFixed32(b, w.Source)
+	if len(w.Crashes) > 0 {
+		var crashes []byte
+		for _, s := range w.Crashes {
+			crashes = protowire.AppendFixed32(crashes, s.Upstream)
+			crashes = protowire.AppendVarint(crashes, millis(s.Age))
 		}
-		b = protowire.AppendTag(b, fieldStrikes, protowire.BytesType)
-		b = protowire.AppendBytes(b, strikes)
+		b = protowire.AppendTag(b, fieldCrashes, protowire.BytesType)
+		b = protowire.AppendBytes(b, crashes)
 	}
 	if w.HeldLeft > 0 {
 		b = protowire.AppendTag(b, fieldHeldLeft, protowire.VarintType)
@@ -64,13 +64,13 @@
 	return b
 }
 
-func millis(d time.Duration) uint64 { return uint64(max(0, min(d.Milliseconds(), maxWordTime))) }
+func millis(d time.Duration) uint64 { return uint64(max(0, min(d.Milliseconds(), maxClaimTime))) }
 
-// decodeWord reads what appendWord wrote. Unknown fields are passed over.
-func decodeWord(b []byte) (poison.Word, error) {
-	var w poison.Word
+// decodeClaim reads what appendClaim wrote. Unknown fields are passed over.
+func decodeClaim(b []byte) (poison.Claim, error) {
+	var w poison.Claim
 	var key, head, heldLeft, heldAge, answered uint64
-	var strikes []byte
+	var crashes []byte
 	hasHead := false
 	for len(b) > 0 {
 		field, kind, n := protowire.ConsumeTag(b)
@@ -84,10 +84,10 @@
 		case field == fieldHead && kind == protowire.Fixed64Type:
 			head, n = protowire.ConsumeFixed64(b)
 			hasHead = true
-		case field == fieldVoter && kind == protowire.Fixed32Type:
-			w.Voter, n = protowire.ConsumeFixed32(b)
-		case field == fieldStrikes && kind == protowire.BytesType:
-			strikes, n = protowire.ConsumeBytes(b)
+		case field == fieldSource && kind == protowire.Fixed32Type:
+			w.Source, n = protowire.ConsumeFixed32(b)
+		case field == fieldCrashes && kind == protowire.BytesType:
+			crashes, n = protowire.ConsumeBytes(b)
 		case field == fieldHeldLeft && kind == protowire.VarintType:
 			heldLeft, n = protowire.ConsumeVarint(b)
 		case field == fieldHeldAge && kind == protowire.VarintType:
@@ -103,7 +103,7 @@
 		}
 		b = b[n:]
 	}
-	if heldLeft > maxWordTime || heldAge > maxWordTime || answered > maxWordTime {
+	if heldLeft > maxClaimTime || heldAge > maxClaimTime || answered > maxClaimTime {
 		return w, errMalformed
 	}
 	w.Key, w.Head = poison.Key(key), poison.Key(key)
@@ -112,10 +112,10 @@
 	}
 	w.HeldLeft, w.HeldAge = time.Duration(heldLeft)*time.Millisecond, time.Duration(heldAge)*time.Millisecond
 	w.AnsweredAge = time.Duration(answered) * time.Millisecond
-	return w, decodeStrikes(strikes, &w)
+	return w, decodeCrashes(crashes, &w)
 }
 
-func decodeStrikes(b []byte, w *poison.Word) error {
+func decodeCrashes(b []byte, w *poison.Claim) error {
 	for len(b) > 0 {
 		upstream, n := protowire.ConsumeFixed32(b)
 		if n < 0 {
@@ -123,11 +123,11 @@
 		}
 		b = b[n:]
 		age, n := protowire.ConsumeVarint(b)
-		if n < 0 || age > maxWordTime || len(w.Strikes) == maxWordStrikes {
+		if n < 0 || age > maxClaimTime || len(w.Crashes) == maxClaimCrashes {
 			return errMalformed
 		}
 		b = b[n:]
-		w.Strikes = append(w.Strikes, poison.Strike{Upstream: upstream, Age: time.Duration(age) * time.Millisecond})
+		w.Crashes = append(w.Crashes, poison.Crash{Upstream: upstream, Age: time.Duration(age) * time.Millisecond})
 	}
 	return nil
 }
--- a/internal/inflight/word_bench_test.go
+++ b/internal/inflight/claim_bench_test.go
@@ -9,10 +9,10 @@
 	"github.com/loomkeel/loomkeel/internal/poison"
 )
 
-// BenchmarkWords is what an entry pays in each round for a number of requests that are
-// held, and the bytes in a second that it sends to each peer: those of its own words,
+// BenchmarkClaims is what an entry pays in each round for a number of requests that are
+// held, and the bytes in a second that it sends to each peer: those of its own claims,
 // or, as a hub, also those of two others about each.
-func BenchmarkWords(b *testing.B) {
+func BenchmarkClaims(b *testing.B) {
 	for _, n := range []int{0, 1, 100} {
 		for _, hub := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%d requests, hub %v", n, hub), func(b *testing.B) {
@@ -25,8 +25,8 @@
 					for range 300 {
 						now = now.Add(farPeriod)
 						rounds++
-						for words := range slices.Chunk(tr.Words(now, wordsPerRound, hub), maxWords) {
-							r := Report{Entry: "edge-qurum-hall-10", Scope: ScopeNone, Last: allUpstreams, Words: words}
+						for claims := range slices.Chunk(tr.Claims(now, claimsPerRound, hub), maxClaims) {
+							r := Report{Entry: "edge-qurum-hall-10", Scope: ScopeNone, Last: allUpstreams, Claims: claims}
 							bytes += len(r.Append(nil))
 						}
 					}
@@ -48,7 +48,7 @@
 		tr.Broke(t0, keys, keys, uint32(3*i))
 		for peer := range 2 {
 			for _, key := range keys.All() {
-				tr.Heard(t0, poison.Word{Key: key, Head: key, Voter: uint32(peer + 1), Strikes: []poison.Strike{{Upstream: uint32(3*i + peer + 1)}}})
+				tr.Heard(t0, poison.Claim{Key: key, Head: key, Source: uint32(peer + 1), Crashes: []poison.Crash{{Upstream: uint32(3*i + peer + 1)}}})
 			}
 		}
 	}
--- a/internal/inflight/word_test.go
+++ b/internal/inflight/claim_test.go
@@ -9,24 +9,24 @@
 	"github.com/loomkeel/loomkeel/internal/poison"
 )
 
-// longWord is one that takes as many bytes as any does.
-func longWord(i int) poison.Word {
-	w := poison.Word{
-		Key: 1<<63 + poison.Key(i), Head: 1<<62 + poison.Key(i), Voter: 1 << 31,
+// longClaim is one that takes as many bytes as any does.
+func longClaim(i int) poison.Claim {
+	w := poison.Claim{
+		Key: 1<<63 + poison.Key(i), Head: 1<<62 + poison.Key(i), Source: 1 << 31,
 		HeldLeft: time.Hour, HeldAge: time.Hour, Answered: true, AnsweredAge: time.Minute,
 	}
 	for j := range 4 {
-		w.Strikes = append(w.Strikes, poison.Strike{Upstream: uint32(j) << 29, Age: 9 * time.Minute})
+		w.Crashes = append(w.Crashes, poison.Crash{Upstream: uint32(j) << 29, Age: 9 * time.Minute})
 	}
 	return w
 }
 
-func TestWordsAreReadBack(t *testing.T) {
+func TestClaimsAreReadBack(t *testing.T) {
 	want := Report{Entry: "edge-sohar-hall-12", Scope: ScopeNone, Incarnation: 1 << 41, Sequence: 1 << 30, Last: allUpstreams}
-	for i := range maxWords {
-		want.Words = append(want.Words, longWord(i))
+	for i := range maxClaims {
+		want.Claims = append(want.Claims, longClaim(i))
 	}
-	want.Words[3] = poison.Word{Key: 5, Head: 5, Voter: 6}
+	want.Claims[3] = poison.Claim{Key: 5, Head: 5, Source: 6}
 	b := want.Append(nil)
 	if len(b) > maxDatagram {
 		t.Errorf("%d bytes", len(b))
@@ -35,21 +35,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(got.Words, want.Words) {
-		t.Errorf("got %+v", got.Words)
+	if !reflect.DeepEqual(got.Claims, want.Claims) {
+		t.Errorf("got %+v", got.Claims)
 	}
 }
 
-func TestBadWordsAreRefused(t *testing.T) {
-	bad := longWord(0)
-	for len(bad.Strikes) <= maxWordStrikes {
-		bad.Strikes = append(bad.Strikes, poison.Strike{})
+func TestBadClaimsAreRefused(t *testing.T) {
+	bad := longClaim(0)
+	for len(bad.Crashes) <= maxClaimCrashes {
+		bad.Crashes = append(bad.Crashes, poison.Crash{})
 	}
-	r := Report{Entry: "e", Scope: ScopeNone, Last: allUpstreams, Words: []poison.Word{bad}}
+	r := Report{Entry: "e", Scope: ScopeNone, Last: allUpstreams, Claims: []poison.Claim{bad}}
 	if _, err := Decode(r.Append(nil)); err == nil {
-		t.Error("a word with too many strikes is taken")
+		t.Error("a claim with too many crashes is taken")
 	}
-	r.Words = []poison.Word{longWord(0)}
+	r.Claims = []poison.Claim{longClaim(0)}
 	whole := r.Append(nil)
 	for n := 1; n < 20; n++ {
 		if _, err := Decode(whole[:len(whole)-n]); err == nil {
@@ -58,7 +58,7 @@
 	}
 }
 
-// TestAnEntrySpeaksForItselfAlone sends words of other entries in a fleet without hubs,
+// TestAnEntrySpeaksForItselfAlone sends claims of other entries in a fleet without hubs,
 // and its own from an address that is not its own.
 func TestAnEntrySpeaksForItselfAlone(t *testing.T) {
 	heard := 0
@@ -66,24 +66,24 @@
 	x := &Exchange{hubs: newHubs("self"), presence: newPresence(), opt: Options{
 		Entry:    "self",
 		Fleet:    func() Fleet { return Fleet{Peers: []Peer{peer}} },
-		Heard:    func(_ string, r *Report) { heard += len(r.Words) },
+		Heard:    func(_ string, r *Report) { heard += len(r.Claims) },
 		Stranger: func(netip.AddrPort) {},
 	}}
-	word := func(of string) poison.Word { return poison.Word{Key: 1, Head: 1, Voter: poison.VoterOf(of)} }
-	x.take(&Report{Entry: "p", Scope: ScopeNone, Words: []poison.Word{word("p"), word("q"), word("self")}}, peer.Address, t0)
+	claim := func(of string) poison.Claim { return poison.Claim{Key: 1, Head: 1, Source: poison.SourceOf(of)} }
+	x.take(&Report{Entry: "p", Scope: ScopeNone, Claims: []poison.Claim{claim("p"), claim("q"), claim("self")}}, peer.Address, t0)
 	if heard != 1 {
-		t.Errorf("%d words taken, want its own", heard)
+		t.Errorf("%d claims taken, want its own", heard)
 	}
-	x.take(&Report{Entry: "p", Scope: ScopeNone, Words: []poison.Word{word("p")}}, netip.MustParseAddrPort("10.0.0.9:7200"), t0)
+	x.take(&Report{Entry: "p", Scope: ScopeNone, Claims: []poison.Claim{claim("p")}}, netip.MustParseAddrPort("10.0.0.9:7200"), t0)
 	if heard != 1 {
 		t.Error("a report from another address is taken")
 	}
 }
 
-// TestWordsReachAllThroughHubs has upstreams end under a request at entries of two failure
+// TestClaimsReachAllThroughHubs has upstreams end under a request at entries of two failure
 // domains of a fleet that is too large for direct reports: all entries hold it, those that
 // carry nothing among them.
-func TestWordsReachAllThroughHubs(t *testing.T) {
+func TestClaimsReachAllThroughHubs(t *testing.T) {
 	const each = maxDirect/2 + 2
 	all := startFleet(t, each)
 	for i, e := range all {
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -46,9 +46,9 @@
 	Counts func(balance.Counted) []Count
 	// Doubt returns the Doubt and DoubtLeft of reports.
 	Doubt func() (rest, left time.Duration)
-	// Words returns what to tell of requests under which upstreams ended, at most n Words;
+	// Claims returns what to tell of requests under which upstreams ended, at most n Claims;
 	// nil means nothing. A hub also relays those of others.
-	Words func(n int, relay bool) []poison.Word
+	Claims func(n int, relay bool) []poison.Claim
 	// Leaving reports whether the own entry stops.
 	Leaving func() bool
 	// Now is the clock; nil means time.Now.
@@ -99,8 +99,8 @@
 	if opt.Now == nil {
 		opt.Now = time.Now
 	}
-	if opt.Words == nil {
-		opt.Words = func(int, bool) []poison.Word { return nil }
+	if opt.Claims == nil {
+		opt.Claims = func(int, bool) []poison.Claim { return nil }
 	}
 	if opt.Busy == nil {
 		opt.Busy = func() bool { return true }
@@ -194,7 +194,7 @@
 	case len(fleet.Peers) == 0:
 	case len(fleet.Peers) <= maxDirect:
 		x.tell(fleet.Peers, Report{Scope: ScopeOwn}, balance.Counted{Own: true})
-		x.tellWords(fleet.Peers, false)
+		x.tellClaims(fleet.Peers, false)
 	default:
 		x.sendByHubs(fleet, now)
 	}
@@ -232,10 +232,10 @@
 		x.tell(idle, toReporters, balance.Counted{})
 	}
 	if !isHub && len(busy)+len(idle) == 0 {
-		x.tellWords([]Peer{hub}, false)
+		x.tellClaims([]Peer{hub}, false)
 	}
 	if isHub || len(busy)+len(idle) > 0 {
-		x.tellWords(slices.Concat(busy, idle, remote), true)
+		x.tellClaims(slices.Concat(busy, idle, remote), true)
 		from := make(map[string]bool, len(busy)+len(idle))
 		for _, p := range append(busy, idle...) {
 			from[p.ID] = true
@@ -286,17 +286,17 @@
 	}
 }
 
-// tellWords tells of requests under which upstreams ended, in each far period. All peers
+// tellClaims tells of requests under which upstreams ended, in each far period. All peers
 // are told the same, near ones no more often: what there is to tell may need several
 // rounds, and no peer may miss one.
-func (x *Exchange) tellWords(peers []Peer, relay bool) {
+func (x *Exchange) tellClaims(peers []Peer, relay bool) {
 	if !x.farDue() {
 		return
 	}
-	for words := range slices.Chunk(x.opt.Words(wordsPerRound, relay), maxWords) {
+	for words := range slices.Chunk(x.opt.Claims(claimsPerRound, relay), maxClaims) {
 		r := Report{
 			Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq,
-			Scope: ScopeNone, Last: allUpstreams, Words: words,
+			Scope: ScopeNone, Last: allUpstreams, Claims: words,
 		}
 		x.buf = r.Append(x.buf[:0])
 		for _, p := range peers {
@@ -343,7 +343,7 @@
 			return
 		}
 		if r.Scope == ScopeNone {
-			r.Words = trusted(r, len(fleet.Peers) > maxDirect)
+			r.Claims = trusted(r, len(fleet.Peers) > maxDirect)
 			x.opt.Heard(r.Entry, r)
 			return
 		}
@@ -365,15 +365,15 @@
 	return a.Port() == b.Port() && a.Addr().Unmap() == b.Addr().Unmap()
 }
 
-// trusted returns the Words of a report that are taken from its sender: its own, and
+// trusted returns the Claims of a report that are taken from its sender: its own, and
 // where there are hubs also those that it relays. So one entry cannot speak for several
 // in a fleet in which each tells each other one.
-func trusted(r *Report, byHubs bool) []poison.Word {
+func trusted(r *Report, byHubs bool) []poison.Claim {
 	if byHubs {
-		return r.Words
+		return r.Claims
 	}
-	sender := poison.VoterOf(r.Entry)
-	return slices.DeleteFunc(r.Words, func(w poison.Word) bool { return w.Voter != sender })
+	sender := poison.SourceOf(r.Entry)
+	return slices.DeleteFunc(r.Claims, func(w poison.Claim) bool { return w.Source != sender })
 }
 
 // nameOf names whose requests a report counts. An entry that is both a hub and a
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -145,7 +145,7 @@
 }
 
 func (e *entry) take(peer string, r *Report) {
-	for _, w := range r.Words {
+	for _, w := range r.Claims {
 		e.tracker.Heard(time.Now(), w)
 	}
 	if r.Scope == ScopeNone {
@@ -239,9 +239,9 @@
 			e.tracker = poison.NewTracker(e.peer.ID)
 			x, err := Listen(Options{
 				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Leaving: func() bool { return false }, Stranger: func(netip.AddrPort) {},
-				Fleet: func() Fleet { return fleetFor(e, all) },
-				Words: func(n int, relay bool) []poison.Word { return e.tracker.Words(time.Now(), n, relay) },
-				Busy:  func() bool { return !e.idle.Load() },
+				Fleet:  func() Fleet { return fleetFor(e, all) },
+				Claims: func(n int, relay bool) []poison.Claim { return e.tracker.Claims(time.Now(), n, relay) },
+				Busy:   func() bool { return !e.idle.Load() },
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -36,7 +36,7 @@
 	ScopeDomain
 	// ScopeOthers counts those of all entries but the receiver.
 	ScopeOthers
-	// ScopeNone counts nobody's: the report has only Words.
+	// ScopeNone counts nobody's: the report has only Claims.
 	ScopeNone
 )
 
@@ -64,8 +64,8 @@
 	// or are silent; see hashOf. Hubs tell them.
 	Absent []uint32
 	Counts []Count
-	// Words are about requests under which upstreams ended. They have reports of their own.
-	Words []poison.Word
+	// Claims are about requests under which upstreams ended. They have reports of their own.
+	Claims []poison.Claim
 }
 
 // Fields of the encoding, a protobuf message.
@@ -84,7 +84,7 @@
 	fieldLeaving     = 12
 	fieldIdle        = 13
 	fieldAbsent      = 14
-	fieldWord        = 15
+	fieldClaim       = 15
 )
 
 const (
@@ -168,9 +168,9 @@
 	b = protowire.AppendTag(b, fieldRequests, protowire.BytesType)
 	b = protowire.AppendBytes(b, requests)
 	b = appendFailures(b, counts)
-	for _, w := range r.Words[:min(len(r.Words), maxWords)] {
-		b = protowire.AppendTag(b, fieldWord, protowire.BytesType)
-		b = protowire.AppendBytes(b, appendWord(nil, &w))
+	for _, w := range r.Claims[:min(len(r.Claims), maxClaims)] {
+		b = protowire.AppendTag(b, fieldClaim, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendClaim(nil, &w))
 	}
 	return b
 }
@@ -255,13 +255,13 @@
 			idle, n = protowire.ConsumeVarint(b)
 		case field == fieldAbsent && kind == protowire.BytesType:
 			absent, n = protowire.ConsumeBytes(b)
-		case field == fieldWord && kind == protowire.BytesType:
+		case field == fieldClaim && kind == protowire.BytesType:
 			if word, n = protowire.ConsumeBytes(b); n >= 0 {
-				w, err := decodeWord(word)
+				w, err := decodeClaim(word)
 				if err != nil {
 					return nil, err
 				}
-				r.Words = append(r.Words, w)
+				r.Claims = append(r.Claims, w)
 			}
 		case field == fieldFirst && kind == protowire.Fixed32Type:
 			r.First, n = protowire.ConsumeFixed32(b)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -254,7 +254,7 @@
 		Fleet:       func() inflight.Fleet { return n.fleet.of(self, n.members.Load()) },
 		Counts:      n.counts,
 		Doubt:       n.doubt,
-		Words:       n.Entry.Carrier.Words,
+		Claims:      n.Entry.Carrier.Claims,
 		Leaving:     n.stopping.Load,
 		Busy:        func() bool { return n.Entry.Carrier.InFlight() > lightLoad },
 		Heard:       n.heard,
@@ -272,7 +272,7 @@
 }
 
 func (n *Node) heard(peer string, r *inflight.Report) {
-	n.Entry.Carrier.HeardWords(r.Words)
+	n.Entry.Carrier.HeardClaims(r.Claims)
 	if r.Scope == inflight.ScopeNone {
 		return
 	}
--- a/internal/poison/words.go
+++ b/internal/poison/claims.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// maxStrikes is how many strikes one Word tells. With those of another entry they are
+	// maxCrashes is how many crashes one Claim tells. With those of another entry they are
 	// more than enough for a request to be held.
-	maxStrikes = 4
-	// maxRelayed is how many Words of others about one request a hub passes on.
-	maxRelayed = voters
+	maxCrashes = 4
+	// maxRelayed is how many Claims of others about one request a hub passes on.
+	maxRelayed = quorum
 	// freshRounds is in how many rounds a change is told, so that peers hear of it though
 	// a datagram or two are lost.
 	freshRounds = 3
@@ -23,19 +23,19 @@
 	repeatEvery = time.Second
 )
 
-// Words returns what to tell of the requests whose turn it is, at most n Words. What
+// Claims returns what to tell of the requests whose turn it is, at most n Claims. What
 // changed is told in a few rounds, and repeated seldom while there is something to learn
 // from it. A hub also passes on what others said.
-func (t *Tracker) Words(now time.Time, n int, relay bool) []Word {
+func (t *Tracker) Claims(now time.Time, n int, relay bool) []Claim {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Word
+	var out []Claim
 	for _, r := range t.due(now) {
-		words := t.wordsOf(now, r, relay)
-		if len(out)+len(words) > n {
+		claims := t.claimsOf(now, r, relay)
+		if len(out)+len(claims) > n {
 			break
 		}
-		out = append(out, words...)
+		out = append(out, claims...)
 		r.fresh = max(0, r.fresh-1)
 		r.toldAt = now
 	}
@@ -64,28 +64,28 @@
 // telling reports whether those that have not heard of a request are to hear of it: it is
 // held, or would be soon. Of one with a single end they hear once another has seen one.
 func (t *Tracker) telling(now time.Time, r *record) bool {
-	return now.Before(r.heldUntil) || len(t.strikes(now, r)) >= suspectAfter
+	return now.Before(r.heldUntil) || len(t.crashes(now, r)) >= suspectAfter
 }
 
-func (t *Tracker) wordsOf(now time.Time, r *record, relay bool) []Word {
-	var out []Word
-	own := t.ownWord(now, r)
-	if r.spoken || len(own.Strikes) > 0 || own.HeldLeft > 0 || own.Answered {
-		r.spoken = true
+func (t *Tracker) claimsOf(now time.Time, r *record, relay bool) []Claim {
+	var out []Claim
+	own := t.ownClaim(now, r)
+	if r.claimed || len(own.Crashes) > 0 || own.HeldLeft > 0 || own.Answered {
+		r.claimed = true
 		out = append(out, own)
 	}
 	if !relay {
 		return out
 	}
-	said := slices.SortedFunc(maps.Values(r.peers), func(a, b said) int { return cmp.Compare(len(b.strikes), len(a.strikes)) })
-	for _, s := range said[:min(len(said), maxRelayed)] {
+	claims := slices.SortedFunc(maps.Values(r.peers), func(a, b peerClaim) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+	for _, s := range claims[:min(len(claims), maxRelayed)] {
 		out = append(out, s.later(now))
 	}
 	return out
 }
 
-func (t *Tracker) ownWord(now time.Time, r *record) Word {
-	w := Word{Key: r.key, Head: r.head, Voter: t.self, Strikes: strikesOf(now, r.own)}
+func (t *Tracker) ownClaim(now time.Time, r *record) Claim {
+	w := Claim{Key: r.key, Head: r.head, Source: t.self, Crashes: crashesOf(now, r.own)}
 	if left := r.heldUntil.Sub(now); left > 0 {
 		w.HeldLeft, w.HeldAge = left, now.Sub(r.heldSince)
 	}
@@ -95,20 +95,20 @@
 	return w
 }
 
-// strikesOf returns the newest strikes with their ages.
-func strikesOf(now time.Time, at map[uint32]time.Time) []Strike {
-	var out []Strike
+// crashesOf returns the newest crashes with their ages.
+func crashesOf(now time.Time, at map[uint32]time.Time) []Crash {
+	var out []Crash
 	for upstream, when := range at {
-		out = append(out, Strike{upstream, now.Sub(when)})
+		out = append(out, Crash{upstream, now.Sub(when)})
 	}
-	slices.SortFunc(out, func(a, b Strike) int { return cmp.Compare(a.Age, b.Age) })
-	return out[:min(len(out), maxStrikes)]
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) })
+	return out[:min(len(out), maxCrashes)]
 }
 
 // later returns what was said as it is to be told now.
-func (s *said) later(now time.Time) Word {
-	w := s.word
-	w.Strikes = strikesOf(now, s.strikes)
+func (s *peerClaim) later(now time.Time) Claim {
+	w := s.claim
+	w.Crashes = crashesOf(now, s.crashes)
 	w.HeldLeft, w.HeldAge = max(0, s.heldUntil.Sub(now)), now.Sub(s.heldSince)
 	if w.Answered {
 		w.AnsweredAge += now.Sub(s.at)
--- a/internal/poison/recent.go
+++ b/internal/poison/recent.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxRecent bounds each of the two halves of the answers that are remembered: at a
-// hundred requests a second, with two keys each, at least vouchFor.
+// hundred requests a second, with two keys each, at least trustAnswerFor.
 const maxRecent = 2048
 
 // recentKeys remembers when requests were last answered. Of two halves the older one is
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -1,8 +1,6 @@
 package poison
 
 import (
-	"encoding/binary"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,17 +15,17 @@
 	heldAfter = 3
 	// suspectAfter is from how many on a request comes one at a time.
 	suspectAfter = 2
-	// voters is how many entries must have seen such an end: the word of one alone,
+	// quorum is how many entries must have seen such an end: the word of one alone,
 	// mistaken or forged, turns no caller away. An entry that has seen all itself needs
 	// no other.
-	voters = 2
-	// strikeFor is how long an end counts: callers that come back every few minutes are
+	quorum = 2
+	// crashFor is how long an end counts: callers that come back every few minutes are
 	// found too.
-	strikeFor = 10 * time.Minute
-	// vouchFor is how long an answer speaks for the requests after it. What many callers
+	crashFor = 10 * time.Minute
+	// trustAnswerFor is how long an answer speaks for the requests after it. What many callers
 	// ask for is under way at most of the upstreams that are lost with a failure domain,
 	// and has been answered all the time before.
-	vouchFor = 10 * time.Second
+	trustAnswerFor = 10 * time.Second
 	// refuteWithin is within what time of an end an answer by the same upstream shows
 	// that just the connection broke; upstreams take seconds to start again.
 	refuteWithin = time.Second
@@ -48,33 +46,33 @@
 	// maxRecords bounds the requests that are remembered. Some thirty are under way at an
 	// upstream that ends; a region of a large fleet may lose dozens at once.
 	maxRecords = 1024
-	// maxVoters bounds the entries whose words about one request are remembered: many more
+	// maxSources bounds the entries whose claims about one request are remembered: many more
 	// than it takes, and few enough that a hub which speaks for entries that do not exist
 	// fills no memory.
-	maxVoters = 32
+	maxSources = 32
 	// keepFor is how long a request is remembered after there is nothing against it any
 	// more, so that peers hear of it.
 	keepFor = 5 * time.Second
-	// parolePeriod is how long it is remembered after a hold that it was held.
-	parolePeriod = 10 * time.Minute
+	// holdMemory is how long it is remembered after a hold that it was held.
+	holdMemory = 10 * time.Minute
 )
 
-// Strike is an upstream that ended under a request.
-type Strike struct {
+// Crash is an upstream that ended under a request.
+type Crash struct {
 	// Upstream names the life of the upstream; see balance.LifeKey.
 	Upstream uint32
 	// Age is how long ago it ended.
 	Age time.Duration
 }
 
-// Word is what one entry says of one request. Times are told as ages, since the clocks of
+// Claim is what one entry says of one request. Times are told as ages, since the clocks of
 // entries differ.
-type Word struct {
+type Claim struct {
 	Key, Head Key
-	// Voter is the hash of the id of the entry that says it.
-	Voter uint32
-	// Strikes are the last upstreams that ended under the request at that entry.
-	Strikes []Strike
+	// Source is the hash of the id of the entry that says it.
+	Source uint32
+	// Crashes are the last upstreams that ended under the request at that entry.
+	Crashes []Crash
 	// HeldLeft is for how long that entry will keep it from upstreams, 0 if it does not, and
 	// HeldAge since how long it has.
 	HeldLeft, HeldAge time.Duration
@@ -83,8 +81,8 @@
 	AnsweredAge time.Duration
 }
 
-// VoterOf names an entry in a Word.
-func VoterOf(entry string) uint32 { return uint32(xxhash.Sum64String(entry)) }
+// SourceOf names an entry in a Claim.
+func SourceOf(entry string) uint32 { return uint32(xxhash.Sum64String(entry)) }
 
 // Decision is what to do with a request.
 type Decision struct {
@@ -103,10 +101,10 @@
 	records map[Key]*record
 	// heads counts the records by their keys without the body.
 	heads map[Key]int
-	// blamed names for each upstream that ended the held request under which it did.
-	blamed   map[uint32]Key
-	answered recentKeys
-	made     uint64
+	// explained names for each upstream that ended the held request under which it did.
+	explained map[uint32]Key
+	answered  recentKeys
+	made      uint64
 }
 
 // record is what is known of one request.
@@ -115,7 +113,7 @@
 	// own are the upstreams that ended under it here, by when.
 	own map[uint32]time.Time
 	// peers is what the other entries said last.
-	peers map[uint32]said
+	peers map[uint32]peerClaim
 	// answered is when an upstream last answered it, anywhere; ownAnswer when one did here.
 	answered, ownAnswer time.Time
 	// heldSince and heldUntil bound the last hold.
@@ -126,29 +124,19 @@
 	underWay int
 	changed  time.Time
 	// fresh is in how many rounds the last change is still to be told, toldAt when the
-	// request was last told of, spoken whether this entry ever said anything of it.
-	fresh  int
-	toldAt time.Time
-	spoken bool
+	// request was last told of, claimed whether this entry ever said anything of it.
+	fresh   int
+	toldAt  time.Time
+	claimed bool
 	// order is that in which the records were made.
 	order uint64
 }
 
-// said is a Word with its times.
-type said struct {
-	strikes              map[uint32]time.Time
-	heldSince, heldUntil time.Time
-	// answered is when an upstream answered the request there, zero if none did.
-	answered time.Time
-	at       time.Time
-	word     Word
-}
-
 // NewTracker returns the Tracker of an entry.
 func NewTracker(self string) *Tracker {
 	return &Tracker{
-		self: VoterOf(self), records: make(map[Key]*record), heads: make(map[Key]int),
-		blamed: make(map[uint32]Key), answered: newRecentKeys(),
+		self: SourceOf(self), records: make(map[Key]*record), heads: make(map[Key]int),
+		explained: make(map[uint32]Key), answered: newRecentKeys(),
 	}
 }
 
@@ -166,7 +154,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, key := range keys.All() {
-		if now.Sub(t.answered.at(key)) < vouchFor {
+		if now.Sub(t.answered.at(key)) < trustAnswerFor {
 			continue
 		}
 		r := t.record(now, head.All()[i], key)
@@ -250,7 +238,7 @@
 		case now.Before(r.heldUntil):
 			d.Held = true
 			d.RetryAfter = max(d.RetryAfter, r.heldUntil.Sub(now))
-		case len(r.own) > 0 && len(t.strikes(now, r)) >= suspectAfter:
+		case len(r.own) > 0 && len(t.crashes(now, r)) >= suspectAfter:
 			d.Suspect = true
 		}
 	}
@@ -277,7 +265,7 @@
 	if len(t.records) >= maxRecords {
 		t.drop(t.least(now))
 	}
-	r = &record{key: key, head: head, own: make(map[uint32]time.Time), peers: make(map[uint32]said), changed: now}
+	r = &record{key: key, head: head, own: make(map[uint32]time.Time), peers: make(map[uint32]peerClaim), changed: now}
 	t.made++
 	r.order = t.made
 	t.records[key] = r
@@ -305,7 +293,7 @@
 	return least
 }
 
-// worth ranks records: those that are held come before those with own strikes.
+// worth ranks records: those that are held come before those with own crashes.
 func (r *record) worth(now time.Time) int {
 	switch {
 	case now.Before(r.heldUntil):
@@ -316,127 +304,6 @@
 	return 0
 }
 
-// review looks at a record anew after something was added or withdrawn.
-func (t *Tracker) review(now time.Time, r *record) {
-	r.news(now)
-	held := now.Before(r.heldUntil)
-	if held {
-		t.blame(now, r)
-	}
-	if held && t.triedAgain(now, r) || !held && t.convicted(now, r) {
-		t.hold(now, r)
-	}
-}
-
-// news has a change told.
-func (r *record) news(now time.Time) {
-	r.changed, r.fresh = now, freshRounds
-}
-
-// convicted reports whether enough upstreams ended under a request. One that was held
-// before and ends another is held again at once.
-func (t *Tracker) convicted(now time.Time, r *record) bool {
-	strikes := t.strikes(now, r)
-	if r.holds > 0 {
-		return anyAfter(strikes, r.heldUntil)
-	}
-	if len(strikes) < heldAfter {
-		return false
-	}
-	own := 0
-	for upstream := range r.own {
-		if _, ok := strikes[upstream]; ok {
-			own++
-		}
-	}
-	return own >= heldAfter || t.witnesses(r, strikes) >= voters
-}
-
-// triedAgain reports whether a request that is held here ended an upstream of another
-// entry, whose hold was over before.
-func (t *Tracker) triedAgain(now time.Time, r *record) bool {
-	return anyAfter(t.strikes(now, r), r.heldSince.Add(lengthOf(r.holds-1)/2))
-}
-
-func anyAfter(strikes map[uint32]time.Time, since time.Time) bool {
-	for _, at := range strikes {
-		if at.After(since) {
-			return true
-		}
-	}
-	return false
-}
-
-// strikes returns the upstreams that ended under a request and count: those that ended
-// lately, after its last answer, and under no other request that is held for it.
-func (t *Tracker) strikes(now time.Time, r *record) map[uint32]time.Time {
-	out := make(map[uint32]time.Time)
-	add := func(strikes map[uint32]time.Time) {
-		for upstream, at := range strikes {
-			by, explained := t.blamed[upstream]
-			if now.Sub(at) < strikeFor && at.After(r.answered) && (!explained || by == r.key) {
-				out[upstream] = at
-			}
-		}
-	}
-	add(r.own)
-	for _, s := range r.peers {
-		add(s.strikes)
-	}
-	return out
-}
-
-// witnesses returns how many entries saw one of the upstreams end.
-func (t *Tracker) witnesses(r *record, strikes map[uint32]time.Time) int {
-	n := 0
-	saw := func(own map[uint32]time.Time) bool {
-		for upstream := range own {
-			if _, ok := strikes[upstream]; ok {
-				return true
-			}
-		}
-		return false
-	}
-	if saw(r.own) {
-		n++
-	}
-	for _, s := range r.peers {
-		if saw(s.strikes) {
-			n++
-		}
-	}
-	return n
-}
-
-// hold keeps a request from upstreams from now on.
-func (t *Tracker) hold(now time.Time, r *record) {
-	r.heldSince = now
-	r.heldUntil = now.Add(lengthOf(r.holds) + t.spread(r.key))
-	r.holds++
-	t.blame(now, r)
-}
-
-// lengthOf returns how long a hold lasts at least after a number of earlier ones.
-func lengthOf(earlier int) time.Duration {
-	const doublings = 5
-	return min(holdFor<<min(max(0, earlier), doublings), longestHold)
-}
-
-// spread returns the own part of holdSpread.
-func (t *Tracker) spread(key Key) time.Duration {
-	var b [4]byte
-	binary.LittleEndian.PutUint32(b[:], t.self)
-	return time.Duration(mix(key, xxhash.Sum64(b[:])) % Key(holdSpread))
-}
-
-// blame records which upstreams a held request ended, so that their ends do not count
-// against what else was under way there.
-func (t *Tracker) blame(now time.Time, r *record) {
-	for upstream := range t.strikes(now, r) {
-		t.blamed[upstream] = r.key
-	}
-}
-
 // clear drops what speaks against a request from before an answer to it.
 func (t *Tracker) clear(now time.Time, r *record, answered time.Time) {
 	if !answered.After(r.answered) {
@@ -449,101 +316,14 @@
 		}
 	}
 	r.heldSince, r.heldUntil, r.holds = time.Time{}, time.Time{}, 0
-	for upstream, by := range t.blamed {
+	for upstream, by := range t.explained {
 		if by == r.key {
-			delete(t.blamed, upstream)
+			delete(t.explained, upstream)
 		}
 	}
 	r.news(now)
 }
 
-// Heard takes in what another entry says.
-func (t *Tracker) Heard(now time.Time, w Word) {
-	if w.Voter == t.self {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.records[w.Key]
-	if r == nil && len(w.Strikes) == 0 && w.HeldLeft == 0 {
-		return
-	}
-	r = t.record(now, w.Head, w.Key)
-	before, known := r.peers[w.Voter]
-	if !known && len(r.peers) >= maxVoters {
-		return
-	}
-	next := t.saidOf(now, w)
-	r.peers[w.Voter] = next
-	if next.answersSince(&before) {
-		t.clear(now, r, next.answered)
-	}
-	if next.differs(&before) {
-		t.review(now, r)
-	}
-	t.takeHold(now, r)
-}
-
-// differs reports whether an entry says something else than before, but for ages.
-func (s *said) differs(before *said) bool {
-	if len(s.strikes) != len(before.strikes) || s.heldUntil.IsZero() != before.heldUntil.IsZero() {
-		return true
-	}
-	for upstream := range s.strikes {
-		if _, ok := before.strikes[upstream]; !ok {
-			return true
-		}
-	}
-	return s.answersSince(before)
-}
-
-// answersSince reports whether there is an answer that was not told before. The same one
-// seems later if its report took longer.
-func (s *said) answersSince(before *said) bool {
-	return s.answered.Sub(before.answered) > echoSlack
-}
-
-// saidOf turns ages into times. Ends soon after an answer here do not count.
-func (t *Tracker) saidOf(now time.Time, w Word) said {
-	s := said{strikes: make(map[uint32]time.Time, len(w.Strikes)), at: now, word: w}
-	vouchedUntil := t.answered.at(w.Key).Add(vouchFor)
-	for _, strike := range w.Strikes {
-		if at := now.Add(-strike.Age); at.After(vouchedUntil) {
-			s.strikes[strike.Upstream] = at
-		}
-	}
-	if w.Answered {
-		s.answered = now.Add(-w.AnsweredAge)
-	}
-	if w.HeldLeft > echoSlack && now.After(vouchedUntil) {
-		s.heldSince, s.heldUntil = now.Add(-w.HeldAge), now.Add(w.HeldLeft)
-	}
-	return s
-}
-
-// takeHold holds a request that enough others hold, so that a node which starts, or was
-// cut off, learns what holds. A hold that is over here is not taken over from those at
-// which the same one lasts longer: all would let the request through at once in the end.
-func (t *Tracker) takeHold(now time.Time, r *record) {
-	if now.Before(r.heldUntil) {
-		return
-	}
-	var holding []said
-	for _, s := range r.peers {
-		if s.heldUntil.After(now) && s.heldSince.After(r.answered) && s.heldSince.After(r.heldUntil) {
-			holding = append(holding, s)
-		}
-	}
-	if len(holding) < voters {
-		return
-	}
-	slices.SortFunc(holding, func(a, b said) int { return b.heldUntil.Compare(a.heldUntil) })
-	last := holding[voters-1]
-	r.heldSince, r.heldUntil = last.heldSince, last.heldUntil.Add(t.spread(r.key)-holdSpread)
-	r.holds = max(1, r.holds)
-	t.blame(now, r)
-}
-
 // Forget drops the requests that nothing speaks against any more. It is called every now
 // and then.
 func (t *Tracker) Forget(now time.Time) {
@@ -552,16 +332,16 @@
 	for _, r := range t.records {
 		keep := keepFor
 		if r.holds > 0 {
-			keep = parolePeriod
+			keep = holdMemory
 		}
-		if now.Before(r.heldUntil) || len(t.strikes(now, r)) > 0 || now.Sub(latest(r.changed, r.heldUntil)) < keep {
+		if now.Before(r.heldUntil) || len(t.crashes(now, r)) > 0 || now.Sub(latest(r.changed, r.heldUntil)) < keep {
 			continue
 		}
 		t.drop(r)
 	}
-	for upstream, by := range t.blamed {
+	for upstream, by := range t.explained {
 		if t.records[by] == nil {
-			delete(t.blamed, upstream)
+			delete(t.explained, upstream)
 		}
 	}
 }
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -34,7 +34,7 @@
 // talk has every entry tell every other one, as often as it takes to tell all.
 func (f fleet) talk(now time.Time) {
 	for from, t := range f {
-		for _, w := range t.Words(now, 1000, false) {
+		for _, w := range t.Claims(now, 1000, false) {
 			for to, other := range f {
 				if to != from {
 					other.Heard(now, w)
@@ -78,13 +78,13 @@
 	}
 }
 
-// TestOnePeersWordHoldsNothing has a peer claim that upstreams ended, and that it holds a
+// TestOnePeersClaimHoldsNothing has a peer claim that upstreams ended, and that it holds a
 // request, which others have never seen fail.
-func TestOnePeersWordHoldsNothing(t *testing.T) {
+func TestOnePeersClaimHoldsNothing(t *testing.T) {
 	f, k := newFleet(3), keysOf("/healthy", "c")
-	forged := Word{Key: k.Anyone, Head: k.Anyone, Voter: 99, HeldLeft: time.Hour}
+	forged := Claim{Key: k.Anyone, Head: k.Anyone, Source: 99, HeldLeft: time.Hour}
 	for i := range 4 {
-		forged.Strikes = append(forged.Strikes, Strike{Upstream: uint32(i)})
+		forged.Crashes = append(forged.Crashes, Crash{Upstream: uint32(i)})
 	}
 	for _, tr := range f {
 		tr.Heard(at(0), forged)
@@ -109,16 +109,16 @@
 	f.talk(at(0))
 	f[2].Answered(at(time.Second), k)
 	f.talk(at(time.Second))
-	f[0].Broke(at(vouchFor+2*time.Second), k, k, 7)
-	f.talk(at(vouchFor + 2*time.Second))
-	if n := f.held(at(vouchFor+2*time.Second), k); n != 0 {
+	f[0].Broke(at(trustAnswerFor+2*time.Second), k, k, 7)
+	f.talk(at(trustAnswerFor + 2*time.Second))
+	if n := f.held(at(trustAnswerFor+2*time.Second), k); n != 0 {
 		t.Errorf("held at %d entries", n)
 	}
 }
 
-// TestRecentAnswerVouches has a request that is answered all the time be under way at
+// TestRecentAnswerIsTrusted has a request that is answered all the time be under way at
 // many upstreams that are lost at once.
-func TestRecentAnswerVouches(t *testing.T) {
+func TestRecentAnswerIsTrusted(t *testing.T) {
 	f, k := newFleet(3), keysOf("/hot", "c")
 	for _, tr := range f {
 		tr.Answered(at(-time.Second), k)
@@ -305,8 +305,8 @@
 	f.talk(at(0))
 	for _, tr := range f {
 		tr.Forget(at(time.Hour))
-		if s := tr.Status(at(time.Hour)); s.Remembered != 0 || len(tr.heads) != 0 || len(tr.blamed) != 0 {
-			t.Errorf("%+v, %d heads, %d blamed", s, len(tr.heads), len(tr.blamed))
+		if s := tr.Status(at(time.Hour)); s.Remembered != 0 || len(tr.heads) != 0 || len(tr.explained) != 0 {
+			t.Errorf("%+v, %d heads, %d explained", s, len(tr.heads), len(tr.explained))
 		}
 	}
 }
@@ -319,16 +319,16 @@
 		tr.Broke(at(0), k, k, uint32(i))
 	}
 	for i := range 3 * maxRecords {
-		tr.Heard(at(time.Second), Word{Key: Key(i), Head: Key(i), Voter: 5, Strikes: []Strike{{Upstream: 1}}})
+		tr.Heard(at(time.Second), Claim{Key: Key(i), Head: Key(i), Source: 5, Crashes: []Crash{{Upstream: 1}}})
 	}
 	if s := tr.Status(at(time.Second)); s.Remembered > maxRecords {
 		t.Errorf("%d remembered", s.Remembered)
 	}
-	for i := range 3 * maxVoters {
-		tr.Heard(at(time.Second), Word{Key: k.Anyone, Head: k.Anyone, Voter: uint32(i), HeldLeft: time.Hour})
+	for i := range 3 * maxSources {
+		tr.Heard(at(time.Second), Claim{Key: k.Anyone, Head: k.Anyone, Source: uint32(i), HeldLeft: time.Hour})
 	}
-	if n := len(tr.records[k.Anyone].peers); n > maxVoters {
-		t.Errorf("the words of %d entries are remembered", n)
+	if n := len(tr.records[k.Anyone].peers); n > maxSources {
+		t.Errorf("the claims of %d entries are remembered", n)
 	}
 	if d := tr.Begin(at(time.Second), k); !d.Held {
 		t.Error("what was held is forgotten")
@@ -359,7 +359,7 @@
 		ended, saw := make(map[int]bool), make(map[int]bool)
 		now, lastAnswer := t0, false
 		for _, e := range events {
-			now = now.Add(vouchFor + time.Second)
+			now = now.Add(trustAnswerFor + time.Second)
 			node, upstream := e%3, e/3%5
 			lastAnswer = e%7 == 0
 			if lastAnswer {
@@ -376,7 +376,7 @@
 		switch {
 		case len(ended) < heldAfter || lastAnswer:
 			return n == 0
-		case len(saw) < voters:
+		case len(saw) < quorum:
 			return n == 1
 		}
 		return n == 3
