Answer a stalled upload at its deadline

Found by a test of bodies that are looked at before they are sent: while a body is being read net/http writes no answer, so that the refusal of an upload whose caller stalls was held back until its next bytes or the end of its connection; the test waited for 60 s. An attempt's own read had the same fault. A read that is under way when the deadline passes now fails. A deadline that passes before the body is there is a timeout, not a bad request.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/loomkeel/loomkeel/internal/poison"
 )
 
@@ -143,6 +145,27 @@
 	return b.err
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// interrupt has a read of the caller's body that is under way when ctx ends fail, and
+// returns how to stop that. net/http writes no answer while a body is being read, so that
+// without it the caller of a stalled upload got its answer only with its next bytes.
+func (b *replayBody) interrupt(ctx context.Context, w http.ResponseWriter) (stop func() bool) {
+	if b.length == 0 {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(ctx, func() {
+		if b.mu.TryLock() {
+			b.mu.Unlock()
+			return
+		}
+		if err := http.NewResponseController(w).SetReadDeadline(longAgo); err != nil {
+			klog.V(1).InfoS("read of a body not interrupted", "err", err)
+		}
+	})
+}
+
 // callerError returns the error, other than its end, that reading the caller's
 // body gave. It returns nil while the body is still being read.
 func (b *replayBody) callerError() error {
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -37,7 +37,10 @@
 		return nil
 	}
 	keys, ok := cl.keys(ctx)
-	if !ok {
+	switch {
+	case !ok && ctx.Err() != nil:
+		return verdict.New(verdict.NotRun, reasonTimeout, ctx.Err())
+	case !ok:
 		return verdict.New(verdict.NotRun, reasonCallerBody, cl.body.callerError())
 	}
 	d := c.poison.Begin(c.now(), keys)
--- a/internal/forward/broken_test.go
+++ b/internal/forward/broken_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/loomkeel/loomkeel/internal/header"
 	"github.com/loomkeel/loomkeel/internal/verdict"
@@ -71,6 +73,42 @@
 	}
 }
 
+// TestStalledUploadIsAnsweredAtItsDeadline sends the header of an upload and none of its
+// body, also of one that must be looked at before it is sent, since an upstream ended under
+// one like it. The answer came only with the next bytes of the body.
+func TestStalledUploadIsAnsweredAtItsDeadline(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		t.Run(fmt.Sprint("known ", known), func(t *testing.T) {
+			e, fakes := endingEntry(t, 3)
+			if known {
+				e.send(t, "POST", "/x", "deadly", header.Repeat, "unsafe", header.RequestID, "d-1")
+			}
+			before := runs(fakes)
+			body, never := io.Pipe()
+			defer never.Close()
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/x", body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set(header.Service, "orders")
+			req.Header.Set(header.Deadline, "100")
+			client := &http.Client{Timeout: 10 * time.Second}
+			resp, err := client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			want := http.StatusGatewayTimeout
+			if known {
+				want = http.StatusServiceUnavailable
+			}
+			if resp.StatusCode != want || runs(fakes) != before {
+				t.Errorf("status %d, want %d; %d runs more", resp.StatusCode, want, runs(fakes)-before)
+			}
+		})
+	}
+}
+
 // TestBodiesTellUploadsApart has upstreams end under one upload: another to the same path
 // and of the same length is served.
 func TestBodiesTellUploadsApart(t *testing.T) {
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -267,6 +267,7 @@
 	}
 	ctx, release := c.deadlines.with(ctx, c.now(), cl.deadline)
 	defer release()
+	defer cl.body.interrupt(ctx, w)()
 	if refused := c.begin(ctx, cl); refused != nil {
 		c.refuse(w, out, refusalFor(refused, verdict.NotRun))
 		return
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -293,10 +293,10 @@
 	if !x.farDue() {
 		return
 	}
-	for words := range slices.Chunk(x.opt.Claims(claimsPerRound, relay), maxClaims) {
+	for claims := range slices.Chunk(x.opt.Claims(claimsPerRound, relay), maxClaims) {
 		r := Report{
 			Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq,
-			Scope: ScopeNone, Last: allUpstreams, Claims: words,
+			Scope: ScopeNone, Last: allUpstreams, Claims: claims,
 		}
 		x.buf = r.Append(x.buf[:0])
 		for _, p := range peers {
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -179,6 +179,8 @@
 		"return w.Source != sender", "return false && w.Source != sender", pkgReports, "ItselfAlone", nil},
 	{"deadlines that a suspension passes", "internal/forward/deadline.go",
 		"if !now.Before(e.at) {", "if false {", pkgForward, "DeadlinePasses", nil},
+	{"reads of stalled bodies are interrupted", "internal/forward/carrier.go",
+		"defer cl.body.interrupt(ctx, w)()", "_ = cl.body.interrupt", pkgForward, "StalledUpload", nil},
 	{"the boot clock goes on", "internal/bootclock/clock.go",
 		"c.missed.Store(int64(missed))", "_ = missed", pkgForward, "Suspen", nil},
 }
