--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -105,7 +105,7 @@
 	dialer := rpc.NewDialer(nil, nil)
 	feed := platform.NewFeed(platform.FeedOptions{
 		Store: store, Apply: n.Apply, Self: self, Members: n.Members, Now: clock.Check,
-		Peers:     relay.NewClient(dialer, clock.Now),
+		Peers:     relay.NewClient(relay.Over(dialer), clock.Now),
 		Strangers: func() []relay.Source { return n.Strangers.Sources(clock.Now()) },
 	})
 	registrar, err := platform.NewRegistrar(store, feed, self, s.Store.MinLease)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -37,10 +37,13 @@
 
 var _ pb.DRPCRelayServer = (*Server)(nil)
 
+// NewServer returns the Server of a Cache.
+func NewServer(c *Cache, now func() time.Time) *Server { return &Server{c, now} }
+
 // NewMux returns the drpc service of a Cache.
 func NewMux(c *Cache, now func() time.Time) (*drpcmux.Mux, error) {
 	mux := drpcmux.New()
-	return mux, pb.DRPCRegisterRelay(mux, &Server{c, now})
+	return mux, pb.DRPCRegisterRelay(mux, NewServer(c, now))
 }
 
 // Changes implements pb.DRPCRelayServer.
@@ -59,14 +62,26 @@
 	return reply, nil
 }
 
+// Call asks the peer at an address for changes.
+type Call func(ctx context.Context, addr string, req *pb.RelayRequest) (*pb.RelayReply, error)
+
+// Over returns the Call that goes over a dialer's connections.
+func Over(dialer *rpc.Dialer) Call {
+	return func(ctx context.Context, addr string, req *pb.RelayRequest) (*pb.RelayReply, error) {
+		conn := dialer.Conn(addr)
+		defer conn.Close()
+		return pb.NewDRPCRelayClient(conn).Changes(ctx, req)
+	}
+}
+
 // Client follows peers.
 type Client struct {
-	dialer *rpc.Dialer
-	now    func() time.Time
+	call Call
+	now  func() time.Time
 }
 
-// NewClient returns a Client that connects with dialer.
-func NewClient(dialer *rpc.Dialer, now func() time.Time) *Client { return &Client{dialer, now} }
+// NewClient returns a Client that reaches peers by call.
+func NewClient(call Call, now func() time.Time) *Client { return &Client{call, now} }
 
 // Changes asks the peer at an address for what changed after a revision, for which
 // it may wait. Returned is when the service was reached again after a loss; zero if
@@ -75,9 +90,7 @@
 func (c *Client) Changes(ctx context.Context, addr string, after int64, wait time.Duration) (b Batch, returned time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	conn := c.dialer.Conn(addr)
-	defer conn.Close()
-	reply, err := pb.NewDRPCRelayClient(conn).Changes(ctx, &pb.RelayRequest{After: after, WaitMilli: uint32(wait.Milliseconds())})
+	reply, err := c.call(ctx, addr, &pb.RelayRequest{After: after, WaitMilli: uint32(wait.Milliseconds())})
 	if err != nil {
 		return Batch{}, time.Time{}, err
 	}
--- a/internal/relay/serve_test.go
+++ b/internal/relay/serve_test.go
@@ -40,7 +40,7 @@
 func newClient(t *testing.T) *Client {
 	dialer := rpc.NewDialer(nil, nil)
 	t.Cleanup(func() { dialer.Close() })
-	return NewClient(dialer, time.Now)
+	return NewClient(Over(dialer), time.Now)
 }
 
 func TestFollowOverTheWire(t *testing.T) {
