Know how old what a node knows may be, and look elsewhere before it is too old

Cause: silence was taken for nothing to hear. A watch that tells nothing may be deaf, and net/http sends a watch whose connection is closed again by itself, with the deadline of the first and a wait that begins anew, so that the break by which the store tells that its history is gone was never seen.

Readers ask for the store's revision at a pace that follows from the time within which changes must be in force, and give up a watch that does not tell; until when they certainly know everything goes to followers with each answer, who turn elsewhere once it is too old.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -107,6 +107,7 @@
 		Store: store, Apply: n.Apply, Self: self, Members: n.Members, Now: clock.Check,
 		Peers:     relay.NewClient(relay.Over(dialer), clock.Now),
 		Strangers: func() []relay.Source { return n.Strangers.Sources(clock.Now()) },
+		Within:    s.Bounds.Apply,
 	})
 	registrar, err := platform.NewRegistrar(store, feed, self, s.Store.MinLease)
 	if err != nil {
@@ -118,10 +119,12 @@
 	}
 	named := func() []model.Member { return n.Named(exchange.Absent(clock.Now())) }
 	metrics.Publish("store", func() any { return store.Calls() })
-	if err := listen(n, named, s); err != nil {
+	metrics.Publish("feed", func() any { return feed.Status() })
+	dump := func() any { return stateDump{n.Dump(), feed.Status()} }
+	if err := listen(n, named, dump, s); err != nil {
 		return err
 	}
-	if err := serveRelay(ctx, s.Peer, feed.Cache(), clock.Now); err != nil {
+	if err := serveRelay(ctx, s.Peer, feed.Relay()); err != nil {
 		return err
 	}
 	klog.InfoS("node started", "id", s.ID, "entry", s.Entry, "store", s.Store.Address)
@@ -163,8 +166,8 @@
 }
 
 // listen opens the addresses for requests, look-ups and readiness checks. Named returns
-// the nodes that look-ups name.
-func listen(n *node.Node, named func() []model.Member, s *platform.Settings) error {
+// the nodes that look-ups name, dump the state of the process.
+func listen(n *node.Node, named func() []model.Member, dump func() any, s *platform.Settings) error {
 	for _, l := range []struct {
 		addr string
 		open func() (*process.Server, error)
@@ -173,7 +176,7 @@
 		{s.Directory, func() (*process.Server, error) {
 			return process.Listen(s.Directory, platform.DirectoryHandler(named, s.Bounds.MaxLifetime))
 		}},
-		{s.Debug, func() (*process.Server, error) { return process.Listen(s.Debug, debugHandler(n)) }},
+		{s.Debug, func() (*process.Server, error) { return process.Listen(s.Debug, debugHandler(n, dump)) }},
 		{s.Readiness, func() (*process.Server, error) {
 			return process.Listen(s.Readiness, platform.ReadinessHandler(n.Ready))
 		}},
@@ -188,12 +191,12 @@
 }
 
 // serveRelay lets other nodes follow what this one has read from the store.
-func serveRelay(ctx context.Context, addr string, cache *relay.Cache, now func() time.Time) error {
+func serveRelay(ctx context.Context, addr string, srv *relay.Server) error {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", addr)
 	}
-	mux, err := relay.NewMux(cache, now)
+	mux, err := relay.NewMux(srv)
 	if err != nil {
 		return eris.Wrap(err, "relay")
 	}
@@ -205,11 +208,17 @@
 	return nil
 }
 
+// stateDump is everything that the process decides by, and how old it may be.
+type stateDump struct {
+	node.Dump
+	Feed platform.FeedStatus `json:"feed"`
+}
+
 // debugHandler serves the metrics and the dump of the process's state.
-func debugHandler(n *node.Node) http.Handler {
+func debugHandler(n *node.Node, dump func() any) http.Handler {
 	metrics.Publish("entry", func() any { return n.Entry.Metrics() })
 	metrics.Publish("node", func() any { return n.Status() })
 	r := chi.NewRouter()
-	process.Debug(r, n.Ready, func() any { return n.Dump() })
+	process.Debug(r, n.Ready, dump)
 	return r
 }
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -21,6 +21,8 @@
 	// floor is the revision from which on all ends of keys are remembered.
 	floor    int64
 	revision int64
+	// complete is until when every change is certainly known; zero if it never was.
+	complete time.Time
 	state    State
 	// changed is closed at the next change of the revision or the state.
 	changed chan struct{}
@@ -49,6 +51,24 @@
 	return c.revision
 }
 
+// Complete returns until when the Cache certainly holds every change of the service; zero if
+// that was never certain.
+func (c *Cache) Complete() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.complete
+}
+
+// SetComplete records that the Cache holds every change until a time. An earlier time than
+// is known changes nothing.
+func (c *Cache) SetComplete(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.After(c.complete) {
+		c.complete = until
+	}
+}
+
 // SetState records how the own entry stands to the service.
 func (c *Cache) SetState(s State) {
 	c.mu.Lock()
--- a/internal/relay/cache_test.go
+++ b/internal/relay/cache_test.go
@@ -30,6 +30,7 @@
 func following(batches ...Batch) *Cache {
 	c := NewCache()
 	c.SetState(State{Following: true})
+	c.SetComplete(time.Now().Add(time.Hour))
 	for _, b := range batches {
 		c.Take(b)
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -32,31 +32,40 @@
 // Server serves a Cache to peers.
 type Server struct {
 	cache *Cache
-	now   func() time.Time
+	// maxAge is how old the knowledge of an entry may be that others follow. One that
+	// hears nothing answers them all the same, and would keep them deaf with it.
+	maxAge time.Duration
+	now    func() time.Time
 }
 
 var _ pb.DRPCRelayServer = (*Server)(nil)
 
-// NewServer returns the Server of a Cache.
-func NewServer(c *Cache, now func() time.Time) *Server { return &Server{c, now} }
+// NewServer returns the Server of a Cache, which peers may follow while what it holds is not
+// older than maxAge.
+func NewServer(c *Cache, maxAge time.Duration, now func() time.Time) *Server {
+	return &Server{c, maxAge, now}
+}
 
-// NewMux returns the drpc service of a Cache.
-func NewMux(c *Cache, now func() time.Time) (*drpcmux.Mux, error) {
+// NewMux returns the drpc service of a Server.
+func NewMux(s *Server) (*drpcmux.Mux, error) {
 	mux := drpcmux.New()
-	return mux, pb.DRPCRegisterRelay(mux, NewServer(c, now))
+	return mux, pb.DRPCRegisterRelay(mux, s)
 }
 
 // Changes implements pb.DRPCRelayServer.
 func (s *Server) Changes(ctx context.Context, req *pb.RelayRequest) (*pb.RelayReply, error) {
+	asked := s.now()
 	wait := min(maxWait, time.Duration(req.GetWaitMilli())*time.Millisecond)
 	b, state := s.cache.Wait(ctx, req.GetAfter(), wait)
-	reply := &pb.RelayReply{Unavailable: !state.Following, Lost: state.Lost}
+	complete := s.cache.Complete()
+	followed := state.Following && s.now().Sub(complete) < s.maxAge
+	reply := &pb.RelayReply{Unavailable: !followed, Lost: state.Lost, AgeMilli: asked.Sub(complete).Milliseconds()}
 	if ago := s.now().Sub(state.Returned); !state.Returned.IsZero() && ago < returnedRecently {
 		reply.ReturnedMilli = uint32(max(1, ago.Milliseconds()))
 	}
 	// An entry that knows nothing yet gets what there is even from one that does not
 	// follow the service: it has nobody else to ask while the service is away.
-	if state.Following || req.GetAfter() == 0 {
+	if followed || req.GetAfter() == 0 {
 		reply.Whole, reply.Records, reply.Revision = b.Whole, recordsToProto(b.Records), b.Revision
 	}
 	return reply, nil
@@ -83,30 +92,44 @@
 // NewClient returns a Client that reaches peers by call.
 func NewClient(call Call, now func() time.Time) *Client { return &Client{call, now} }
 
+// Reply is what a peer tells.
+type Reply struct {
+	Batch
+	// Complete is until when the peer's knowledge, and with it that of whoever takes the
+	// batch, certainly holds every change.
+	Complete time.Time
+	// Returned is when the service was reached again after a loss; zero if that is long
+	// past. It is told also by a peer that cannot be followed now.
+	Returned time.Time
+}
+
 // Changes asks the peer at an address for what changed after a revision, for which
-// it may wait. Returned is when the service was reached again after a loss; zero if
-// that is long past. It is told even if the peer cannot be followed now; and with
-// after 0 so is what the peer knows.
-func (c *Client) Changes(ctx context.Context, addr string, after int64, wait time.Duration) (b Batch, returned time.Time, err error) {
+// it may wait. With after 0 a peer that cannot be followed tells what it knows.
+func (c *Client) Changes(ctx context.Context, addr string, after int64, wait time.Duration) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	reply, err := c.call(ctx, addr, &pb.RelayRequest{After: after, WaitMilli: uint32(wait.Milliseconds())})
+	asked := c.now()
+	answer, err := c.call(ctx, addr, &pb.RelayRequest{After: after, WaitMilli: uint32(wait.Milliseconds())})
 	if err != nil {
-		return Batch{}, time.Time{}, err
+		return Reply{}, err
 	}
-	if ago := reply.GetReturnedMilli(); ago > 0 {
-		returned = c.now().Add(-time.Duration(ago) * time.Millisecond)
+	var reply Reply
+	if ago := answer.GetReturnedMilli(); ago > 0 {
+		reply.Returned = c.now().Add(-time.Duration(ago) * time.Millisecond)
 	}
-	records, err := recordsFromProto(reply.GetRecords())
+	records, err := recordsFromProto(answer.GetRecords())
 	if err != nil {
-		return Batch{}, returned, err
+		return reply, err
 	}
-	b = Batch{reply.GetWhole(), records, reply.GetRevision()}
+	reply.Batch = Batch{answer.GetWhole(), records, answer.GetRevision()}
 	switch {
-	case reply.GetLost():
-		return b, returned, ErrLost
-	case reply.GetUnavailable():
-		return b, returned, ErrUnavailable
+	case answer.GetLost():
+		return reply, ErrLost
+	case answer.GetUnavailable():
+		return reply, ErrUnavailable
 	}
-	return b, returned, nil
+	// The question was under way for an unknown part of the time, so that its age counts
+	// from when it was sent.
+	reply.Complete = asked.Add(-time.Duration(answer.GetAgeMilli()) * time.Millisecond)
+	return reply, nil
 }
--- a/internal/relay/serve_test.go
+++ b/internal/relay/serve_test.go
@@ -8,11 +8,16 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/rpc"
+	"github.com/loomkeel/loomkeel/internal/rpc/pb"
 )
 
+// maxAge is how old what peers know may be in these tests.
+const maxAge = 1500 * time.Millisecond
+
 // serve serves a Cache on loopback and returns its address.
 func serve(t *testing.T, c *Cache) string {
 	t.Helper()
@@ -20,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	mux, err := NewMux(c, time.Now)
+	mux, err := NewMux(NewServer(c, maxAge, time.Now))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,13 +51,13 @@
 func TestFollowOverTheWire(t *testing.T) {
 	cache := following(Batch{Whole: true, Records: []Record{{Key: "a", Value: []byte("1"), Revision: 4}}, Revision: 7})
 	addr, client := serve(t, cache), newClient(t)
-	b, returned, err := client.Changes(t.Context(), addr, 0, time.Second)
-	if err != nil || !b.Whole || b.Revision != 7 || string(b.Records[0].Value) != "1" || !returned.IsZero() {
-		t.Fatalf("%+v, %v, %v", b, returned, err)
+	b, err := client.Changes(t.Context(), addr, 0, time.Second)
+	if err != nil || !b.Whole || b.Revision != 7 || string(b.Records[0].Value) != "1" || !b.Returned.IsZero() {
+		t.Fatalf("%+v, %v", b, err)
 	}
 	cache.Take(Batch{Records: []Record{gone("a", 8)}, Revision: 8})
-	b, _, err = client.Changes(t.Context(), addr, b.Revision, time.Second)
-	if err != nil || b.Whole || !slices.Equal(keysOf(b), []string{"-a"}) {
+	b, err = client.Changes(t.Context(), addr, b.Revision, time.Second)
+	if err != nil || b.Whole || !slices.Equal(keysOf(b.Batch), []string{"-a"}) {
 		t.Fatalf("%+v, %v", b, err)
 	}
 }
@@ -60,7 +65,7 @@
 func TestPeerThatDoesNotFollow(t *testing.T) {
 	cache := following(Batch{Whole: true, Revision: 7})
 	cache.SetState(State{Following: false})
-	_, _, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
+	_, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
 	if !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrLost) {
 		t.Error(err)
 	}
@@ -70,12 +75,58 @@
 	cache := following(Batch{Whole: true, Revision: 7})
 	back := time.Now().Add(-time.Second)
 	cache.SetState(State{Following: true, Returned: back})
-	_, returned, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
-	if err != nil || returned.Before(back.Add(-time.Second)) || returned.After(time.Now()) {
-		t.Error(returned, back, err)
+	reply, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
+	if err != nil || reply.Returned.Before(back.Add(-time.Second)) || reply.Returned.After(time.Now()) {
+		t.Error(reply.Returned, back, err)
+	}
+}
+
+// TestAgeIsTold has a peer whose knowledge was complete some time ago. An entry that follows
+// it must not take what it hears for newer, and must not follow a peer that is deaf.
+func TestAgeIsTold(t *testing.T) {
+	for _, tt := range []struct {
+		age  time.Duration
+		want error
+	}{{0, nil}, {maxAge / 2, nil}, {maxAge, ErrUnavailable}, {time.Hour, ErrUnavailable}} {
+		synctest.Test(t, func(t *testing.T) {
+			cache := NewCache()
+			cache.SetState(State{Following: true})
+			cache.Take(Batch{Whole: true, Records: []Record{put("a", 1)}, Revision: 1})
+			complete := time.Now().Add(-tt.age)
+			cache.SetComplete(complete)
+			const way = 100 * time.Millisecond
+			far := func(ctx context.Context, _ string, req *pb.RelayRequest) (*pb.RelayReply, error) {
+				time.Sleep(way)
+				return NewServer(cache, maxAge, time.Now).Changes(ctx, req)
+			}
+			got, err := NewClient(far, time.Now).Changes(t.Context(), "peer", 1, 0)
+			if !errors.Is(err, tt.want) {
+				t.Fatalf("%v, want %v", err, tt.want)
+			}
+			if early := complete.Sub(got.Complete); err == nil && (early < 0 || early > way) {
+				t.Errorf("complete until %v ago, told to be so until %v ago", time.Since(complete), time.Since(got.Complete))
+			}
+		})
 	}
 }
 
+// TestAgeAfterAWait has a reader prove its knowledge complete while it holds an answer back.
+func TestAgeAfterAWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cache := following(Batch{Whole: true, Revision: 1})
+		direct := func(ctx context.Context, _ string, req *pb.RelayRequest) (*pb.RelayReply, error) {
+			return NewServer(cache, maxAge, time.Now).Changes(ctx, req)
+		}
+		proved := time.Now().Add(400 * time.Millisecond)
+		cache.complete = time.Time{}
+		time.AfterFunc(450*time.Millisecond, func() { cache.SetComplete(proved) })
+		got, err := NewClient(direct, time.Now).Changes(t.Context(), "peer", 1, 500*time.Millisecond)
+		if err != nil || !got.Complete.Equal(proved) {
+			t.Errorf("complete until %v, want %v; %v", got.Complete, proved, err)
+		}
+	})
+}
+
 // A peer that takes the connection and never answers, as a frozen one does, is given
 // up.
 func TestSilentPeerIsGivenUp(t *testing.T) {
@@ -84,7 +135,7 @@
 		t.Fatal(err)
 	}
 	defer lis.Close()
-	if _, _, err := newClient(t).Changes(t.Context(), lis.Addr().String(), 0, time.Millisecond); err == nil {
+	if _, err := newClient(t).Changes(t.Context(), lis.Addr().String(), 0, time.Millisecond); err == nil {
 		t.Error("a silent peer is believed")
 	}
 }
@@ -98,7 +149,7 @@
 	if sent := recordsToProto(b.Records)[0]; len(sent.GetPacked()) > len(long)/10 || len(sent.GetValue()) > 0 {
 		t.Errorf("%d bytes become %d", len(long), len(sent.GetPacked())+len(sent.GetValue()))
 	}
-	got, _, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
+	got, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
 	if err != nil || !bytes.Equal(got.Records[0].Value, long) {
 		t.Errorf("%d bytes, %v", len(got.Records[0].Value), err)
 	}
