--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -19,6 +19,10 @@
 	service  *model.Service
 	began    time.Time
 	deadline time.Time
+	// version is that of the configuration by which allows was found.
+	version uint64
+	// allows reports whether a region may serve the request; nil if it has no route.
+	allows func(region string) bool
 	// attempts is how many upstreams the request may be sent to.
 	attempts int
 	priority int
@@ -50,6 +54,7 @@
 	longest := svc.Deadline
 	if ask.Route != nil {
 		c.attempts = ask.Route.Attempts
+		c.allows = ask.Route.Allows
 		longest = ask.Route.Timeout
 	}
 	c.deadline = now.Add(shorter(ask.Limit, longest))
@@ -94,7 +99,7 @@
 
 // objectRequest is what the call asks of the balancer if it has a route.
 func (c *call) objectRequest() balance.ObjectRequest {
-	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.Route.Allows, Tried: c.tried}
+	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried}
 	if c.Route.Affinity && c.Object != "" {
 		req.Object = balance.HashObject(c.Route.Name, c.Object)
 	} else {
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -252,6 +252,7 @@
 		return
 	}
 	cl := newCall(r, ask, svc, c.now())
+	cl.version = snap.Revision
 	if limit := c.maxBody(snap); limit > 0 {
 		if r.ContentLength > limit {
 			c.refuse(w, out, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, verdict: verdict.NotRun})
