Name nodes that may serve a caller's requests when its region has none

Cause: with no live node known in the caller's region a look-up named nodes of all regions, also for hosts whose routes only some regions may serve, and a node that had read nothing yet named itself to callers of any region. Change: homes of the host's routes go before all others; a node names none until it has read everything once.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -174,7 +174,7 @@
 	}{
 		{s.Entry, func() (*process.Server, error) { return process.Listen(s.Entry, n.Handler()) }},
 		{s.Directory, func() (*process.Server, error) {
-			return process.Listen(s.Directory, platform.DirectoryHandler(named, s.Bounds.MaxLifetime))
+			return process.Listen(s.Directory, platform.DirectoryHandler(named, n.Homes, s.Bounds.MaxLifetime))
 		}},
 		{s.Debug, func() (*process.Server, error) { return process.Listen(s.Debug, debugHandler(n, dump)) }},
 		{s.Readiness, func() (*process.Server, error) {
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -81,6 +81,30 @@
 	return nil
 }
 
+// Homes returns the regions that may serve the requests of a host: those that all of its
+// routes allow which do not allow every region, or if they have none in common those that any
+// of them allows. It is empty if every route allows every region.
+func (t *Routes) Homes(host string) []string {
+	var all, common []string
+	first := true
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if len(r.Regions) == 0 {
+			continue
+		}
+		all = append(all, r.Regions...)
+		if first {
+			common = r.Regions
+			first = false
+			continue
+		}
+		common = slices.DeleteFunc(slices.Clone(common), func(region string) bool { return !r.Allows(region) })
+	}
+	if len(common) == 0 {
+		common = all
+	}
+	return slices.Compact(slices.Sorted(slices.Values(common)))
+}
+
 // Config is one whole version of a routed configuration.
 type Config struct {
 	// Version orders the configurations; a larger one is newer.
--- a/internal/node/apply_bench_test.go
+++ b/internal/node/apply_bench_test.go
@@ -56,6 +56,6 @@
 	n := largeNode()
 	b.ReportAllocs()
 	for range b.N {
-		route.Nearest(n.Named(nil), "r0", "d0")
+		route.Nearest(n.Named(nil), "r0", "d0", nil)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,10 +124,23 @@
 	return n.view.Others(all)
 }
 
+// Homes returns the regions that may serve the requests of a host; empty means all.
+func (n *Node) Homes(host string) []string {
+	snap := n.Entry.Carrier.Snapshot()
+	if snap == nil {
+		return nil
+	}
+	return snap.Routes.Homes(host)
+}
+
 // Named returns the nodes to name to callers: the live ones but for those that are
 // known to be absent, whose registrations may outlive them while the platform's service
-// is away.
+// is away. A node that has not read everything yet names none: it may know only itself, and
+// its caller may have come from another region.
 func (n *Node) Named(absent map[string]bool) []model.Member {
+	if !n.synced.Load() {
+		return nil
+	}
 	members := n.Members()
 	if len(absent) == 0 {
 		// The usual case must not copy the whole fleet for each look-up.
--- a/internal/route/nearest.go
+++ b/internal/route/nearest.go
@@ -1,15 +1,20 @@
 package route
 
-import "github.com/loomkeel/loomkeel/internal/model"
+import (
+	"slices"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+)
 
 // enough is how many members of a failure domain are named alone: with two of
 // them a caller has another to turn to.
 const enough = 2
 
 // Nearest returns the live members with an entry that are nearest to a place:
-// those of the failure domain, if there are enough, else of the region, else all; and
+// those of the failure domain, if there are enough, else of the region, else of the homes,
+// which are the regions that may serve the caller's requests, else all; and
 // of these the strongest, if they can carry the requests of all.
-func Nearest(members []model.Member, region, domain string) []model.Member {
+func Nearest(members []model.Member, region, domain string, homes []string) []model.Member {
 	inRegion := func(m *model.Member) bool { return m.Region == region }
 	inDomain := func(m *model.Member) bool { return m.Region == region && m.Domain == domain }
 	if beside := named(members, inDomain); len(beside) >= enough {
@@ -18,6 +23,10 @@
 	if near := named(members, inRegion); len(near) > 0 {
 		return model.Strongest(near)
 	}
+	atHome := func(m *model.Member) bool { return slices.Contains(homes, m.Region) }
+	if serving := named(members, atHome); len(serving) > 0 {
+		return model.Strongest(serving)
+	}
 	return model.Strongest(named(members, func(*model.Member) bool { return true }))
 }
 
--- a/internal/route/nearest_test.go
+++ b/internal/route/nearest_test.go
@@ -21,15 +21,19 @@
 	}
 	for _, tt := range []struct {
 		name, region, domain string
+		homes                []string
 		want                 string
 	}{
-		{"two in the domain", "muscat", "a", "a1a2"},
-		{"one in the domain", "muscat", "b", "a1a2b1"},
-		{"unknown domain", "muscat", "z", "a1a2b1"},
-		{"none in the region", "salalah", "s", "a1a2b1c1"},
+		{"two in the domain", "muscat", "a", nil, "a1a2"},
+		{"one in the domain", "muscat", "b", nil, "a1a2b1"},
+		{"unknown domain", "muscat", "z", nil, "a1a2b1"},
+		{"none in the region", "salalah", "s", nil, "a1a2b1c1"},
+		{"none in the region, one at home", "salalah", "s", []string{"sohar"}, "c1"},
+		{"none in the region nor at home", "salalah", "s", []string{"nizwa"}, "a1a2b1c1"},
+		{"the own region though it is no home", "muscat", "b", []string{"sohar"}, "a1a2b1"},
 	} {
 		got := ""
-		for _, m := range Nearest(members, tt.region, tt.domain) {
+		for _, m := range Nearest(members, tt.region, tt.domain, tt.homes) {
 			got += m.ID
 		}
 		if got != tt.want {
@@ -66,7 +70,7 @@
 		{"nothing told", []model.Member{{Region: "m", Domain: "a", State: membership.Alive, Entry: "x"}, {Region: "m", Domain: "a", State: membership.Alive, Entry: "y"}}, 2},
 		{"fast processor on a slow link", slowLink, 6},
 	} {
-		if got := Nearest(tt.members, "m", "a"); len(got) != tt.want {
+		if got := Nearest(tt.members, "m", "a", nil); len(got) != tt.want {
 			t.Errorf("%s: %d named, want %d", tt.name, len(got), tt.want)
 		}
 	}
