--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -63,11 +63,9 @@
 	if ago := s.now().Sub(state.Returned); !state.Returned.IsZero() && ago < returnedRecently {
 		reply.ReturnedMilli = uint32(max(1, ago.Milliseconds()))
 	}
-	// An entry that knows nothing yet gets what there is even from one that does not
-	// follow the service: it has nobody else to ask while the service is away.
-	if followed || req.GetAfter() == 0 {
-		reply.Whole, reply.Records, reply.Revision = b.Whole, recordsToProto(b.Records), b.Revision
-	}
+	// What is known is told also by one that cannot be followed: it may have been told of a
+	// change just before it lost the service, and whoever asks may have nobody else to ask.
+	reply.Whole, reply.Records, reply.Revision = b.Whole, recordsToProto(b.Records), b.Revision
 	return reply, nil
 }
 
@@ -104,7 +102,8 @@
 }
 
 // Changes asks the peer at an address for what changed after a revision, for which
-// it may wait. With after 0 a peer that cannot be followed tells what it knows.
+// it may wait. With ErrLost and ErrUnavailable the reply has what the peer knows, which need
+// not be all.
 func (c *Client) Changes(ctx context.Context, addr string, after int64, wait time.Duration) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
--- a/internal/relay/serve_test.go
+++ b/internal/relay/serve_test.go
@@ -65,10 +65,13 @@
 func TestPeerThatDoesNotFollow(t *testing.T) {
 	cache := following(Batch{Whole: true, Revision: 7})
 	cache.SetState(State{Following: false})
-	_, err := newClient(t).Changes(t.Context(), serve(t, cache), 0, time.Second)
+	reply, err := newClient(t).Changes(t.Context(), serve(t, cache), 5, time.Second)
 	if !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrLost) {
 		t.Error(err)
 	}
+	if reply.Revision != 7 || !reply.Complete.IsZero() {
+		t.Errorf("revision %d, complete until %v; want what the peer knows, and no word that it is complete", reply.Revision, reply.Complete)
+	}
 }
 
 func TestPeerTellsThatTheServiceWasAway(t *testing.T) {
