--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -8,7 +8,7 @@
 const (
 	// replicas is how many upstreams share the requests for one object. With two
 	// a busy one has a warm alternative; with three more objects compete for the
-	// memory of each upstream (docs/PLATFORM.md has the figures).
+	// memory of each upstream.
 	replicas = 2
 	// crossingPerByte is the time that a request would rather wait than send one
 	// more byte to another failure domain: a photograph of 60 KB nearly always
@@ -16,7 +16,7 @@
 	crossingPerByte = 10 * time.Microsecond
 	// spareShare is up to what share of its slots an upstream begins a replica for
 	// the sake of bytes that stay, so that the last slots are left to requests whose
-	// object is at hand. Measured: 0.5, 0.8, 0.9 and 1.1 differ by less than the noise.
+	// object is at hand.
 	spareShare = 0.8
 	// largeBytes is the mean size from which on a class has a replica of each
 	// object in each failure domain. Below, one more warm replica costs more than
@@ -26,8 +26,7 @@
 	// over. With half of a region cold eight in a row come once in 256 objects.
 	maxColdAhead = 8
 	// hugeBytes is the mean size from which on each failure domain has a replica,
-	// however many there are. Measured with three domains: for photographs the bytes
-	// that stay are worth more than the colder work, for 5 KB they are not.
+	// however many there are: the bytes that stay are then worth more than the colder work.
 	hugeBytes = 20_000
 )
 
@@ -97,9 +96,8 @@
 
 // settledFirst puts the upstreams that are cold after those that are not. One that has
 // just joined knows no object and is slow, and the upstreams after it still have at hand
-// what it would take over. With 3 in 10 upstreams joining a service that used a quarter of
-// its slots, 183 requests were refused, since most entries may not send to cold
-// upstreams, and 297 were late.
+// what it would take over. Placed first, upstreams that join have requests refused while most
+// slots are free, since most entries may not send to cold ones.
 func (g *Group) settledFirst(now time.Time, cs []candidate) []candidate {
 	slices.SortStableFunc(cs, func(a, b candidate) int { return compareBool(g.cold(a.m, now), g.cold(b.m, now)) })
 	return cs
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -36,8 +36,7 @@
 	probeEvery = 100 * time.Millisecond
 	// silentAfter is after what time without any answer, beside the expected wait, an
 	// upstream with requests under way is taken for dead. It leaves room for cold work
-	// of a second. Times learnt from the work, mostly shorter, made objects cold
-	// elsewhere: worth 0.768 instead of 0.781 (mean of six runs).
+	// of a second: whoever gives an upstream up too soon makes its objects cold elsewhere.
 	silentAfter = 1200 * time.Millisecond
 	// shedFor is how long an upstream that shed load is taken for full. It says
 	// nothing about the others.
--- a/internal/balance/late.go
+++ b/internal/balance/late.go
@@ -13,7 +13,7 @@
 	// make others late.
 	fullAt = 3.0
 	// priorShare is the part of a class's objective that its work is taken to need
-	// until that was measured: operators set objectives that leave room to wait.
+	// until the first answers tell: operators set objectives that leave room to wait.
 	priorShare = 0.5
 )
 
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -27,9 +27,9 @@
 	return all
 }
 
-// front returns the first n usable upstreams in the object's order. With a thousand
-// upstreams a choice takes 44 to 82 us and no memory, where sorting them took 229 us and
-// 37 KB (BenchmarkPickObject, on a busy machine). The result holds until the next call.
+// front returns the first n usable upstreams in the object's order. It selects rather than
+// sorts: each request comes here, and a service may have a thousand upstreams. The result
+// holds until the next call.
 func (g *Group) front(now time.Time, req ObjectRequest, n int) []candidate {
 	all := g.candidatesOf(now, req)
 	n = min(n, len(all))
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -59,10 +59,9 @@
 }
 
 // capacityByRegion returns the slots of the upstreams that may get new work. Those
-// of a failure domain that is being emptied are no capacity: a region that lost half
-// of its upstreams to that and kept all its requests refused every second one while
-// others had slots to spare. Under heavy load with
-// a domain emptied, refusals fell from 0.039 to 0.033 of all requests (mean of two runs).
+// of a failure domain that is being emptied are no capacity: a region that loses half
+// of its upstreams to that and keeps all its requests refuses every second one while
+// others have slots to spare.
 func (g *Group) capacityByRegion(now time.Time) map[string]float64 {
 	capacity := make(map[string]float64)
 	for _, m := range g.all {
--- a/internal/balance/warmth.go
+++ b/internal/balance/warmth.go
@@ -4,7 +4,7 @@
 
 const (
 	// warmFor is how long after its last answer an upstream is taken to still
-	// have an object at hand. Measured: after 8 s surely, after 20 s mostly.
+	// have an object at hand. Most still do for somewhat longer.
 	warmFor = 20 * time.Second
 	// maxRemembered bounds how many objects are remembered for an upstream.
 	maxRemembered = 512
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,9 +77,8 @@
 	linesPerSecond = 10
 	lineBurst      = 40
 	// routinePerSecond and routineBurst bound those about requests that were served in
-	// time. At 10 a second they were 429 of the last 515 lines of a node under load,
-	// and a collector that keeps 180 KB of each had lost what it said of the store 10 s
-	// before.
+	// time. Under load they would push what a node says of the store out of a collector
+	// that keeps only the last lines.
 	routinePerSecond = 1
 	routineBurst     = 10
 )
--- a/internal/forward/rest.go
+++ b/internal/forward/rest.go
@@ -14,8 +14,8 @@
 	doubtShare = 0.5
 	// echoSlack is by how much longer a doubt that a peer tells must hold to make the
 	// own one hold longer. It is told with the time that it has left, so that the way
-	// lengthens it: without slack two entries 120 ms apart went on telling each other a
-	// doubt of 8 s for ever. Reports take a third of a second at most.
+	// lengthens it: without slack two entries would tell each other the same doubt for
+	// ever. Reports take a third of a second at most.
 	echoSlack = time.Second
 	// promptShare and promptSlack say within what time of the request an upstream
 	// resets a connection that it has forgotten: the way there and back, which is about
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -64,10 +64,7 @@
 			err = brokenAnswer(ans)
 		}
 		// One that refused although it is idle is asked again, as the object is cold
-		// elsewhere; the last attempt goes elsewhere. With two thirds of the upstreams
-		// of a service refusing half of their requests so, this raised the worth from
-		// 0.800 to 0.802 (mean of four runs), in a fleet of 65 nodes with all of them
-		// doing so from 0.696 to 0.702 (one run).
+		// elsewhere; the last attempt goes elsewhere.
 		ends := c.noteBroken(ctx, cl, choice, err)
 		result := c.done(l, choice, reportFor(ans, err))
 		if lastLeft := out.Attempts == cl.attempts-1; result != balance.ShedIdle || lastLeft {
--- a/internal/inflight/presence.go
+++ b/internal/inflight/presence.go
@@ -13,10 +13,8 @@
 )
 
 // presence follows which entries are there, by their reports, so that look-ups do not
-// name one that died or stops while its registration stands. With a quarter of twelve
-// entries losing power, and later a fifth while the platform's service was away, the
-// worth rose from 0.802 to 0.816 (mean of four runs). The caller passes the time in and
-// guards it.
+// name one that died or stops while its registration stands. The caller passes the time in
+// and guards it.
 type presence struct {
 	// since is when an entry was first listed.
 	since map[string]time.Time
--- a/internal/model/strong.go
+++ b/internal/model/strong.go
@@ -17,8 +17,8 @@
 // Strongest returns the members that are about as strong as the strongest, if there are
 // enough of them and they hold a fair share of the strength of all; else all. Callers are
 // told of these alone: few members that see many requests each know the upstreams better
-// and use connections to them again. With 295 members in nine domains, 27 of them strong,
-// five of six requests opened a connection while all were named.
+// and use connections to them again, where each of many would open one for nearly every
+// request.
 func Strongest(members []Member) []Member {
 	best := best(members)
 	var out []Member
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,8 +39,8 @@
 	linger = 3 * time.Second
 	// lightLoad is up to how many requests at a time a node counts as idle in reports.
 	// Nodes that look-ups do not name still get one now and then, by callers whose answer
-	// is old and by checks of the configuration in force. Entries that heard of these
-	// within 0.1 s would decide nothing else than if they hear of them within 0.5 s.
+	// is old and by checks of the configuration in force. Others decide alike whether they
+	// hear of so few at once or half a second later.
 	lightLoad = 2
 	// killMargin is how long before the kill a stopping node ends by itself.
 	killMargin = 500 * time.Millisecond
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -69,9 +69,9 @@
 // Failed records that somebody who read the service cannot reach it: the entry itself,
 // or the peer that it followed. It reports whether the service is taken for lost with it.
 //
-// While heartbeats are answered it is not. Entries that took their reader's loss for the
-// service's sent requests to upstreams up to 2.8 s after these had left. An outage that
-// no heartbeat meets is too short for entries to lapse.
+// While heartbeats are answered it is not. Entries that take their reader's loss for the
+// service's keep upstreams that have left, in case their entries lapsed. An outage that no
+// heartbeat meets is too short for entries to lapse.
 func (j *Judge) Failed() bool {
 	if j.answered || j.lost {
 		return false
--- a/internal/poison/claims.go
+++ b/internal/poison/claims.go
@@ -17,9 +17,8 @@
 	// a datagram or two are lost.
 	freshRounds = 3
 	// repeatEvery is how often what holds is repeated, for nodes that start or were cut
-	// off. Repeating each single end five times a second made up two thirds of all bytes
-	// between regions while upstreams crashed: 23 MB instead of 7 MB in half a minute
-	// at 12 nodes.
+	// off. Repeated in each round, single ends would be most of the bytes between regions
+	// while upstreams crash.
 	repeatEvery = time.Second
 )
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -15,7 +15,7 @@
 	maxRemote = 2
 	// maxCutOff and maxNeighbours are how many readers of other failure domains, and
 	// members of the own one, are asked by an entry that the service does not answer.
-	// With 2 readers alone, three cut entries of eleven heard nothing for 12 s.
+	// Few would leave entries that are cut off together with them hearing nothing.
 	maxCutOff     = 8
 	maxNeighbours = 2
 	// avoidFor is how long a source that failed is passed over. The members that
