--- a/internal/route/nearest_test.go
+++ b/internal/route/nearest_test.go
@@ -33,7 +33,7 @@
 		{"the own region though it is no home", "muscat", "b", []string{"sohar"}, "a1a2b1"},
 	} {
 		got := ""
-		for _, m := range Nearest(members, tt.region, tt.domain, tt.homes) {
+		for _, m := range Nearest(members, tt.region, tt.domain, func() []string { return tt.homes }) {
 			got += m.ID
 		}
 		if got != tt.want {
