Judge a route's deadline by the work of its own requests

Cause, by the log: reason=deadline. A request was refused if its time was under half of the mean latency of the whole service; a route of short requests among long ones was refused for ever, since none was sent that would have shown its work. Change: the time is compared with what requests of its own route have taken, and with nothing until then.

--- a/internal/balance/warmth.go
+++ b/internal/balance/warmth.go
@@ -35,6 +35,28 @@
 // have a replica.
 func (t *times) huge() bool { return t.bytes >= hugeBytes }
 
+// work returns the shortest of the known means, 0 if there is none.
+func (t *times) work() time.Duration {
+	least := t.warm
+	for _, known := range t.unknown {
+		if least == 0 || known > 0 && known < least {
+			least = known
+		}
+	}
+	return least
+}
+
+// Work returns how long requests of a class take at best at an upstream, without waiting
+// there; 0 until answers have told.
+func (g *Group) Work(class string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.byClass[class]; t != nil {
+		return t.work()
+	}
+	return 0
+}
+
 func (g *Group) times(class string) *times {
 	t := g.byClass[class]
 	if t == nil {
--- a/internal/forward/slot.go
+++ b/internal/forward/slot.go
@@ -24,7 +24,7 @@
 	d := admit.Decide(admit.Input{
 		Now:      now,
 		Deadline: cl.deadline,
-		Expected: l.group.Latency(regions[0]) / 2,
+		Expected: expected(cl, l.group, regions[0]),
 		Waiting:  l.queue.Len(),
 		Limit:    svc.Queue,
 		Wait:     max(0, svc.QueueWait-now.Sub(cl.began)),
@@ -51,6 +51,17 @@
 	return c.wait(ctx, l, req, svc.Queue, d.GiveUp, patient)
 }
 
+// expected returns how long an answer takes at the least, 0 if unknown: half of what is usual.
+// That of a request with a route is the work of its own route. By the latency of the service
+// a route of short requests, among others whose work is long, would be refused for ever, as
+// it never came to tell its own.
+func expected(cl *call, group *balance.Group, region string) time.Duration {
+	if cl.Route != nil {
+		return group.Work(cl.Route.Name) / 2
+	}
+	return group.Latency(region) / 2
+}
+
 // takeForObject picks an upstream for the call's object.
 func takeForObject(now time.Time, cl *call, l *lane, region string) (balance.Choice, *verdict.Error) {
 	choice, err := l.group.PickObject(now, cl.objectRequest())
