A proof belongs to the records that it is about

Found by reading the change, not seen in a run. Change: both lie in one batch, read and taken under one lock.

--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -95,6 +95,9 @@
 	if c.deleted > maxDeleted {
 		c.forgetDeleted(max(c.revision, b.Revision))
 	}
+	if b.Complete.After(c.complete) {
+		c.complete = b.Complete
+	}
 	if b.Revision > c.revision {
 		c.revision = b.Revision
 		c.wake()
@@ -165,7 +168,7 @@
 func (c *Cache) since(after int64) (Batch, State, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := Batch{Revision: max(after, c.revision), Whole: after < c.floor}
+	b := Batch{Revision: max(after, c.revision), Whole: after < c.floor, Complete: c.complete}
 	if after >= c.revision && !b.Whole {
 		return b, c.state, c.changed
 	}
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -7,6 +7,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -77,6 +78,9 @@
 	Records []Record
 	// Revision is from where to go on.
 	Revision int64
+	// Complete is until when whoever takes the batch certainly knows every change; zero if
+	// that is not certain.
+	Complete time.Time
 }
 
 func recordsToProto(rs []Record) []*pb.KeyRecord {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -57,9 +57,8 @@
 	asked := s.now()
 	wait := min(maxWait, time.Duration(req.GetWaitMilli())*time.Millisecond)
 	b, state := s.cache.Wait(ctx, req.GetAfter(), wait)
-	complete := s.cache.Complete()
-	followed := state.Following && s.now().Sub(complete) < s.maxAge
-	reply := &pb.RelayReply{Unavailable: !followed, Lost: state.Lost, AgeMilli: asked.Sub(complete).Milliseconds()}
+	followed := state.Following && s.now().Sub(b.Complete) < s.maxAge
+	reply := &pb.RelayReply{Unavailable: !followed, Lost: state.Lost, AgeMilli: asked.Sub(b.Complete).Milliseconds()}
 	if ago := s.now().Sub(state.Returned); !state.Returned.IsZero() && ago < returnedRecently {
 		reply.ReturnedMilli = uint32(max(1, ago.Milliseconds()))
 	}
@@ -93,9 +92,6 @@
 // Reply is what a peer tells.
 type Reply struct {
 	Batch
-	// Complete is until when the peer's knowledge, and with it that of whoever takes the
-	// batch, certainly holds every change.
-	Complete time.Time
 	// Returned is when the service was reached again after a loss; zero if that is long
 	// past. It is told also by a peer that cannot be followed now.
 	Returned time.Time
@@ -120,7 +116,7 @@
 	if err != nil {
 		return reply, err
 	}
-	reply.Batch = Batch{answer.GetWhole(), records, answer.GetRevision()}
+	reply.Batch = Batch{Whole: answer.GetWhole(), Records: records, Revision: answer.GetRevision()}
 	switch {
 	case answer.GetLost():
 		return reply, ErrLost
--- a/internal/relay/serve_test.go
+++ b/internal/relay/serve_test.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// TestAgeIsThatOfTheRecords proves the knowledge of a reader complete, with a change, just
+// after an answer was made. The answer lacks the change and must not be told to be complete.
+func TestAgeIsThatOfTheRecords(t *testing.T) {
+	cache := following(Batch{Whole: true, Revision: 1})
+	b, _ := cache.Wait(t.Context(), 1, 0)
+	cache.Take(Batch{Records: []Record{put("a", 2)}, Revision: 2, Complete: b.Complete.Add(time.Second)})
+	if !b.Complete.Before(cache.Complete()) || len(b.Records) > 0 {
+		t.Errorf("%+v, complete until %v", b, cache.Complete())
+	}
+}
+
 // TestAgeAfterAWait has a reader prove its knowledge complete while it holds an answer back.
 func TestAgeAfterAWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
