Organisations: keys, homes, priorities, and limits over all entries

Cause: nothing knew an organisation. Callers' keys reached upstreams, unknown keys ran, homes and limits of organisations were not kept. Change: the configuration's organisations are read and checked; a request's organisation is found by its key (401 else), told to upstreams by name in place of the key and of whatever the caller said; its homes bind beside the route's; a request whose key was taken away is not sent again. Limits: entries tell each other the rates that they admit and are asked for, each follows the organisation's one token bucket and admits its part of the level (internal/quota).

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -162,6 +162,7 @@
 		RetrySlack: retryShare * b.RetrySlack,
 		ColdFactor: b.ColdFactor,
 		ColdSlack:  b.ColdSlack,
+		LimitSlack: b.LimitSlack,
 	}
 }
 
@@ -217,6 +218,7 @@
 // debugHandler serves the metrics and the dump of the process's state.
 func debugHandler(n *node.Node, dump func() any) http.Handler {
 	metrics.Publish("entry", func() any { return n.Entry.Metrics() })
+	metrics.Publish("limits", func() any { return n.Limits() })
 	metrics.Publish("node", func() any { return n.Status() })
 	r := chi.NewRouter()
 	process.Debug(r, n.Ready, dump)
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -79,6 +79,9 @@
 	return Decision{GiveUp: giveUp}
 }
 
+// PriorityOf returns the priority of a request by its rank, of which 0 is the most urgent.
+func PriorityOf(rank int) int { return max(0, topPriority-rank) }
+
 // roomFor is how full the entry may be for a request of a priority to be taken.
 func roomFor(priority, room int) int {
 	kept := reservedShare * float64(topPriority-priority) / topPriority
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -98,7 +98,7 @@
 	if !ok {
 		return
 	}
-	klog.InfoS("request", "kind", k, "id", o.ID, "service", o.Service, "route", o.Route, "version", o.Version,
+	klog.InfoS("request", "kind", k, "id", o.ID, "organisation", o.Organisation, "service", o.Service, "route", o.Route, "version", o.Version,
 		"status", o.Status, "verdict", o.Verdict, "reason", o.Reason, "detail", o.Detail, "took", o.Took, "attempts", o.Attempts,
 		"upstream", o.Choice.ID, "region", o.Choice.Region, "rank", o.Choice.Rank, "warm", o.Choice.Warm,
 		"ahead", o.Choice.Ahead, "expected", o.Choice.Expected, "load", o.Told.Load, "waiting", o.Told.Waiting, "left_out", left)
@@ -113,6 +113,8 @@
 	switch {
 	case o.Status == http.StatusServiceUnavailable && o.Verdict == verdict.NotRun:
 		return "refused"
+	case o.Status == http.StatusTooManyRequests && o.Verdict == verdict.NotRun:
+		return "limited"
 	case o.Verdict == verdict.MayHaveRun:
 		return "may-have-run"
 	case o.Status >= http.StatusBadRequest:
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/admit"
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
@@ -23,6 +24,9 @@
 	version uint64
 	// allows reports whether a region may serve the request; nil if it has no route.
 	allows func(region string) bool
+	// paid is set while the request has been counted against its organisation's limit and
+	// no upstream may have run it for that.
+	paid bool
 	// attempts is how many upstreams the request may be sent to.
 	attempts int
 	priority int
@@ -54,13 +58,22 @@
 	longest := svc.Deadline
 	if ask.Route != nil {
 		c.attempts = ask.Route.Attempts
-		c.allows = ask.Route.Allows
+		c.allows = ask.allows
+		c.priority = admit.PriorityOf(rankOf(&ask))
 		longest = ask.Route.Timeout
 	}
 	c.deadline = now.Add(shorter(ask.Limit, longest))
 	return c
 }
 
+// rankOf returns how urgent a request with a route is; 0 is the most urgent.
+func rankOf(ask *Ask) int {
+	if o := ask.Organisation; o != nil && o.Priority != model.RoutePriority {
+		return o.Priority
+	}
+	return ask.Route.Priority
+}
+
 // headOf returns the keys of a request without its body. Its caller is told by address.
 func headOf(r *http.Request, ask *Ask) poison.Keys {
 	caller, _, err := net.SplitHostPort(r.RemoteAddr)
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -21,6 +21,7 @@
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
+	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/share"
 	"github.com/loomkeel/loomkeel/internal/shift"
 	"github.com/loomkeel/loomkeel/internal/verdict"
@@ -66,6 +67,8 @@
 type Outcome struct {
 	Service string
 	ID      string
+	// Organisation is the name of whose request it was; empty if it had no key.
+	Organisation string
 	// Route is the name of the request's route, Objective the latency within which
 	// its answer has its full worth; empty if it has no route.
 	Route     string
@@ -98,6 +101,7 @@
 	lanes     map[string]*lane
 	splits    *splits
 	poison    *poison.Tracker
+	limits    *quota.Limiter
 	deadlines *deadlines
 }
 
@@ -125,7 +129,7 @@
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self), deadlines: newDeadlines()}
+	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self), limits: quota.NewLimiter(), deadlines: newDeadlines()}
 	if opt.TLS != nil {
 		c.scheme = "https"
 	}
@@ -153,6 +157,7 @@
 		}
 		l.queue.Wake()
 	}
+	c.limits.Update(s.Organisations, s.LimitSlack, now)
 	c.snap.Store(s)
 }
 
@@ -243,6 +248,9 @@
 func (c *Carrier) carry(w http.ResponseWriter, r *http.Request, snap *model.Snapshot, ask Ask, out *Outcome) {
 	svc := c.serviceOf(snap, &ask)
 	out.Service, out.Version = ask.Service, snap.Revision
+	if ask.Organisation != nil {
+		out.Organisation = ask.Organisation.Name
+	}
 	if ask.Route != nil {
 		out.Route, out.Objective = ask.Route.Name, ask.Route.Objective
 	}
@@ -260,6 +268,11 @@
 		}
 		cl.body.src = http.MaxBytesReader(w, r.Body, limit)
 	}
+	if f := c.limited(cl); f != nil {
+		c.refuse(w, out, f)
+		return
+	}
+	defer c.unlimited(cl)
 	ctx := r.Context()
 	if ask.Route != nil && !ask.Safe {
 		// An unsafe request that is under way goes on without its caller, so that
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -42,6 +42,14 @@
 	Limit time.Duration
 	// Object is what the request is about; empty if it does not say.
 	Object string
+	// Organisation is whose request it is; nil if the configuration has no organisations.
+	Organisation *model.Organisation
+}
+
+// allows reports whether a region may serve the request: its route and its organisation
+// both have a say.
+func (a *Ask) allows(region string) bool {
+	return a.Route.Allows(region) && a.Organisation.Allows(region)
 }
 
 // Fault is a request that cannot be understood or has no service. It has not
@@ -65,6 +73,12 @@
 	Draining bool
 }
 
+// Reasons of a Fault for want of a key.
+const (
+	ReasonNoKey      = "no-key"
+	ReasonUnknownKey = "unknown-key"
+)
+
 // Reasons of Told.NotRun and Told.Broken.
 const (
 	// ReasonShed means that the upstream is full.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -56,6 +56,15 @@
 	})
 }
 
+// after returns the refusal of a request that had attempts before, the last of which ended
+// with an error. If one of them may have run, that is what the caller has to know.
+func (f *refusal) after(last *verdict.Error, outcome verdict.Verdict) *refusal {
+	if last == nil || outcome == verdict.NotRun {
+		return f
+	}
+	return refusalFor(last, outcome)
+}
+
 // refusalFor turns the error that ended a call into its answer.
 func refusalFor(err *verdict.Error, outcome verdict.Verdict) *refusal {
 	return &refusal{
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -37,7 +37,10 @@
 	var last *verdict.Error
 	sheds, patient := 0, false
 	for {
-		c.bindRegions(r, cl)
+		if f := c.rebind(r, cl); f != nil {
+			c.refuse(w, out, f.after(last, cl.outcome))
+			return
+		}
 		choice, err := c.take(ctx, cl, l, regions, patient)
 		if err != nil {
 			if last == nil || err.Verdict == verdict.MayHaveRun {
@@ -46,7 +49,7 @@
 			break
 		}
 		out.Choice = choice
-		ans, err := c.attempt(ctx, r, cl, choice)
+		ans, err := c.send(ctx, r, cl, choice)
 		c.noteAlive(choice, ans)
 		if err != nil && err.Reason == ReasonShed && !cl.service.Routed && sheds < maxSheds {
 			sheds++
@@ -82,20 +85,6 @@
 	c.refuse(w, out, f)
 }
 
-// bindRegions binds the next attempt to the regions that the configuration in force allows.
-// A request may have come under another some time ago: it may have waited for its body, or
-// an attempt may have broken off late. Else it keeps the route that it came under.
-func (c *Carrier) bindRegions(r *http.Request, cl *call) {
-	snap := c.snap.Load()
-	if cl.Route == nil || snap.Revision == cl.version {
-		return
-	}
-	cl.version = snap.Revision
-	if ask, fault := c.opt.Protocol.Parse(r, snap); fault == nil && ask.Route != nil {
-		cl.allows = ask.Route.Allows
-	}
-}
-
 // mayRetry decides whether a failed attempt is followed by another: only by its
 // verdict, within the attempts, the deadline and the budget.
 func (c *Carrier) mayRetry(ctx context.Context, cl *call, l *lane, err *verdict.Error, attempts int) bool {
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/poison"
+	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/share"
 )
 
@@ -77,6 +78,9 @@
 	}
 }
 
+// Limits returns the limits of the organisations.
+func (c *Carrier) Limits() *quota.Limiter { return c.limits }
+
 // Tick drops what is known of such requests and holds no more, and ends requests whose
 // deadline has passed while the machine was suspended. It is called every now and then.
 func (c *Carrier) Tick() {
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -49,6 +49,8 @@
 	// Claims returns what to tell of requests under which upstreams ended, at most n Claims;
 	// nil means nothing. A hub also relays those of others.
 	Claims func(n int, relay bool) []poison.Claim
+	// Limits has the use of organisations' limits; nil means that none is told.
+	Limits Limits
 	// Leaving reports whether the own entry stops.
 	Leaving func() bool
 	// Now is the clock; nil means time.Now.
@@ -195,6 +197,7 @@
 	case len(fleet.Peers) <= maxDirect:
 		x.tell(fleet.Peers, Report{Scope: ScopeOwn}, balance.Counted{Own: true})
 		x.tellClaims(fleet.Peers, false)
+		x.useToAll(fleet, now)
 	default:
 		x.sendByHubs(fleet, now)
 	}
@@ -218,6 +221,7 @@
 	}
 	x.mu.Unlock()
 	isHub := hub.ID == x.opt.Entry
+	x.useByHubs(fleet, hub, busy, idle, remote, now)
 	if !isHub {
 		x.tell([]Peer{hub}, Report{Scope: ScopeOwn, Idle: x.idle(now)}, balance.Counted{Own: true})
 	}
@@ -342,6 +346,10 @@
 			klog.V(1).InfoS("report refused: not from its entry's address", "entry", p.ID, "address", p.Address, "from", from)
 			return
 		}
+		if r.HasUses {
+			x.takeUses(r, p, now)
+			return
+		}
 		if r.Scope == ScopeNone {
 			r.Claims = trusted(r, len(fleet.Peers) > maxDirect)
 			x.opt.Heard(r.Entry, r)
--- a/internal/inflight/hub.go
+++ b/internal/inflight/hub.go
@@ -33,6 +33,8 @@
 	Domain  string
 	// Near is set for peers of the own region.
 	Near bool
+	// Carries is set for those that look-ups name.
+	Carries bool
 }
 
 // Fleet is the other entries, and who may be the hub of which failure domain.
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/loomkeel/loomkeel/internal/poison"
+	"github.com/loomkeel/loomkeel/internal/quota"
 )
 
 // Count is what entries have at an upstream.
@@ -65,6 +66,11 @@
 	Counts []Count
 	// Claims are about requests under which upstreams ended. They have reports of their own.
 	Claims []poison.Claim
+	// HasUses is set if the report is about the use of limits, Uses, of the entries that
+	// UsesScope says.
+	HasUses   bool
+	UsesScope Scope
+	Uses      []quota.Use
 }
 
 // Fields of the encoding, a protobuf message.
@@ -84,6 +90,8 @@
 	fieldIdle        = 13
 	fieldAbsent      = 14
 	fieldClaim       = 15
+	fieldUsesScope   = 16
+	fieldUses        = 17
 )
 
 const (
@@ -167,6 +175,12 @@
 	b = protowire.AppendTag(b, fieldRequests, protowire.BytesType)
 	b = protowire.AppendBytes(b, requests)
 	b = appendFailures(b, counts)
+	if r.HasUses {
+		b = protowire.AppendTag(b, fieldUsesScope, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(r.UsesScope))
+		b = protowire.AppendTag(b, fieldUses, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendUses(nil, r.Uses))
+	}
 	for _, w := range r.Claims[:min(len(r.Claims), maxClaims)] {
 		b = protowire.AppendTag(b, fieldClaim, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendClaim(nil, &w))
@@ -218,9 +232,9 @@
 // Decode reads a report. Unknown fields are passed over.
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
-	var upstreams, requests, failures, absent, claim []byte
+	var upstreams, requests, failures, absent, claim, uses []byte
 	var claims [][]byte
-	var scope, doubt, doubtLeft, leaving, idle uint64
+	var usesScope, scope, doubt, doubtLeft, leaving, idle uint64
 	err := eachField(b, func(field protowire.Number, kind protowire.Type, b []byte) (n int) {
 		switch {
 		case field == fieldEntry && kind == protowire.BytesType:
@@ -250,6 +264,11 @@
 		case field == fieldClaim && kind == protowire.BytesType:
 			claim, n = protowire.ConsumeBytes(b)
 			claims = append(claims, claim)
+		case field == fieldUsesScope && kind == protowire.VarintType:
+			usesScope, n = protowire.ConsumeVarint(b)
+			r.HasUses = true
+		case field == fieldUses && kind == protowire.BytesType:
+			uses, n = protowire.ConsumeBytes(b)
 		case field == fieldFirst && kind == protowire.Fixed32Type:
 			r.First, n = protowire.ConsumeFixed32(b)
 		case field == fieldLast && kind == protowire.Fixed32Type:
@@ -262,7 +281,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if scope > uint64(ScopeNone) || r.First > r.Last || doubt > maxDoubt || doubtLeft > maxDoubt {
+	if usesScope >= uint64(ScopeNone) || scope > uint64(ScopeNone) || r.First > r.Last || doubt > maxDoubt || doubtLeft > maxDoubt {
 		return nil, errMalformed
 	}
 	r.Scope, r.Leaving, r.Idle = Scope(scope), leaving != 0, idle != 0
@@ -270,6 +289,10 @@
 	if err := r.decodeCounts(upstreams, requests); err != nil {
 		return nil, err
 	}
+	r.UsesScope = Scope(usesScope)
+	if r.Uses, err = decodeUses(uses); err != nil {
+		return nil, err
+	}
 	if err := r.decodeAbsent(absent); err != nil {
 		return nil, err
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -100,9 +100,13 @@
 	// are named by the request itself.
 	Routes *Routes
 	Limits Limits
-	Links  map[string]Link
-	Drains []tree.Drain
-	Moves  []tree.Move
+	// Organisations are those whose keys requests must carry; nil if none are needed.
+	Organisations *Organisations
+	// LimitSlack is how many requests of an organisation may run beyond its limit.
+	LimitSlack float64
+	Links      map[string]Link
+	Drains     []tree.Drain
+	Moves      []tree.Move
 	// Members are the live instances, and Carriers those of them that callers are told of.
 	Members  []membership.Member
 	Carriers []membership.Member
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -33,6 +33,8 @@
 	Affinity bool
 	// Regions are those that may serve the requests; empty means all.
 	Regions []string
+	// Open is set if a request needs no key.
+	Open bool
 }
 
 // Part is one service's share of a route.
@@ -112,6 +114,8 @@
 	Routes   []*Route
 	Services map[string]ServiceConfig
 	Limits   Limits
+	// Organisations are those whose keys requests must carry; nil if none are needed.
+	Organisations *Organisations
 }
 
 // ServiceConfig is what a routed configuration says of a service.
@@ -152,6 +156,8 @@
 	// multiplied by for that bound.
 	ColdBurst  float64
 	ColdFactor float64
+	// LimitSlack is how many requests of an organisation may run beyond its limit.
+	LimitSlack float64
 }
 
 // CompileRouted returns the snapshot of a routed configuration.
@@ -160,16 +166,18 @@
 		in.Routes = NewRoutes(in.Config.Routes)
 	}
 	s := &Snapshot{
-		Revision: in.Config.Version,
-		Region:   in.Region,
-		Routes:   in.Routes,
-		Limits:   in.Config.Limits,
-		Services: make(map[string]*Service),
-		Links:    make(map[string]Link),
-		Drains:   in.Drains,
-		Members:  in.Members,
-		Carriers: Carriers(in.Members),
-		Regions:  []string{in.Region},
+		Revision:      in.Config.Version,
+		Region:        in.Region,
+		Routes:        in.Routes,
+		Limits:        in.Config.Limits,
+		Organisations: in.Config.Organisations,
+		LimitSlack:    in.LimitSlack,
+		Services:      make(map[string]*Service),
+		Links:         make(map[string]Link),
+		Drains:        in.Drains,
+		Members:       in.Members,
+		Carriers:      Carriers(in.Members),
+		Regions:       []string{in.Region},
 	}
 	for name, c := range in.Config.Services {
 		s.Services[name] = routedService(name, c, in, s.Carriers)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -31,12 +31,17 @@
 // member that also reads the key-value service for it, as long as it is not silent.
 func fleetOf(self model.Member, members []model.Member) inflight.Fleet {
 	var f inflight.Fleet
+	carries := make(map[string]bool)
+	for _, m := range model.Carriers(members) {
+		carries[m.ID] = true
+	}
 	byDomain := map[string][]model.Member{self.Domain: {self}}
 	for _, m := range members {
 		if m.ID == self.ID {
 			continue
 		}
 		if p, ok := peerOf(self, m); ok {
+			p.Carries = carries[m.ID]
 			f.Peers = append(f.Peers, p)
 			byDomain[m.Domain] = append(byDomain[m.Domain], m)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
+	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/relay"
 	"github.com/loomkeel/loomkeel/internal/view"
 )
@@ -251,13 +252,21 @@
 	Members  []model.Member                   `json:"members"`
 	Services map[string]forward.ServiceStatus `json:"services"`
 	Metrics  map[string]entry.ServiceMetrics  `json:"metrics"`
+	// Limits are those of the organisations that have requests.
+	Limits []quota.Status `json:"limits,omitempty"`
 }
 
 // Dump returns the node's state.
 func (n *Node) Dump() Dump {
-	return Dump{n.Status(), *n.members.Load(), n.Entry.Carrier.Dump(), n.Entry.Metrics()}
+	return Dump{n.Status(), *n.members.Load(), n.Entry.Carrier.Dump(), n.Entry.Metrics(), n.Limits()}
 }
 
+// maxLimits bounds the organisations in metrics and dumps.
+const maxLimits = 1000
+
+// Limits returns the limits of the organisations that have requests.
+func (n *Node) Limits() []quota.Status { return n.Entry.Carrier.Limits().Status(maxLimits, n.now()) }
+
 // Reports sets up the exchange of reports with the other nodes.
 func (n *Node) Reports(self model.Member) inflight.Options {
 	return inflight.Options{
@@ -268,6 +277,7 @@
 		Counts:      n.counts,
 		Doubt:       n.doubt,
 		Claims:      n.Entry.Carrier.Claims,
+		Limits:      n.Entry.Carrier.Limits(),
 		Leaving:     n.stopping.Load,
 		Busy:        func() bool { return n.Entry.Carrier.InFlight() > lightLoad },
 		Heard:       n.heard,
--- /dev/null
+++ b/internal/quota/limit_test.go
@@ -0,0 +1,125 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+const (
+	// beginsAt leaves the entries time to fill their buckets before the requests come.
+	beginsAt = 8 * time.Second
+	endsAt   = 35 * time.Second
+	// allowedShare is how much of the limit may be admitted beyond it, together with the slack.
+	allowedShare = 0.03
+	// leastAdmitted is what part of the limit is admitted at the least while callers ask for
+	// more, and mostRefused what part of their requests is refused while they ask for less.
+	leastAdmitted = 0.97
+	mostRefused   = 0.002
+	seeds         = 4
+)
+
+var limits = []model.Limit{{Rate: 1, Burst: 1}, {Rate: 8, Burst: 8}, {Rate: 40, Burst: 40}, {Rate: 400, Burst: 400}}
+
+// tally sums up plays.
+type tally struct {
+	asked, admitted, refused float64
+	// beyond are the requests that one bucket for all entries would have refused.
+	beyond float64
+	over   float64
+	worst  *simFleet
+	bytes  float64
+}
+
+func (a *tally) add(f *simFleet, from, to time.Duration) {
+	r, ok := count(f.refused, from, to), count(f.admitted, from, to)
+	a.asked += r + ok
+	a.beyond += f.beyond(from, to)
+	a.refused += r
+	a.admitted += ok / (f.limit.Rate * (to - from).Seconds())
+	if over, _ := f.worst(); a.worst == nil || over > a.over {
+		a.over, a.worst = over, f
+	}
+	a.bytes += float64(f.bytes)
+}
+
+// within checks that no play was over the limit by more than is allowed.
+func (a *tally) within(t *testing.T) {
+	t.Helper()
+	l := a.worst.limit
+	if most := testSlack + allowedShare*(l.Rate*ruleWindow.Seconds()+l.Burst); a.over > most {
+		t.Errorf("%v; allowed: %.1f", a.worst, most)
+	}
+}
+
+// eachFleet plays fleets and limits of several sizes, each with some seeds, and hands on
+// what came out between two times.
+func eachFleet(t *testing.T, from, to time.Duration, play func(f *simFleet), check func(t *testing.T, a *tally)) {
+	for _, nodes := range []int{12, 72, 300} {
+		for _, limit := range limits {
+			t.Run(fmt.Sprintf("%d nodes, %v a second", nodes, limit.Rate), func(t *testing.T) {
+				t.Parallel()
+				a := &tally{}
+				for seed := range uint64(seeds) {
+					f := newSimFleet(seed, nodes, limit)
+					f.demand = later(0.62)
+					play(f)
+					f.run(endsAt)
+					a.add(f, from, to)
+				}
+				t.Logf("refused %.4f, one bucket %.4f, admitted %.3f of the limit, at most %.0f over it, %.0f B/s a node", a.refused/a.asked, a.beyond/a.asked, a.admitted/seeds, a.over,
+					a.bytes/seeds/endsAt.Seconds()/float64(nodes))
+				a.within(t)
+				check(t, a)
+			})
+		}
+	}
+}
+
+// later is a demand that begins when the buckets are full.
+func later(demand float64) func(time.Duration) float64 {
+	return surge(demand, demand, 0, 0)
+}
+
+// surge is a demand that is another one for a time.
+func surge(demand, x float64, from, to time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		switch {
+		case at < beginsAt:
+			return 0
+		case at >= from && at < to:
+			return x
+		}
+		return demand
+	}
+}
+
+func fewRefused(t *testing.T, a *tally) {
+	t.Helper()
+	if share := (a.refused - a.beyond) / a.asked; share > mostRefused {
+		t.Errorf("refused %.4f that are not beyond the limit; allowed: %v", share, mostRefused)
+	}
+}
+
+func TestNothingIsRefusedBelowTheLimit(t *testing.T) {
+	eachFleet(t, beginsAt, endsAt, func(*simFleet) {}, fewRefused)
+}
+
+func TestLittleIsRefusedJustBelowTheLimit(t *testing.T) {
+	eachFleet(t, beginsAt, endsAt, func(f *simFleet) { f.demand = later(0.97) }, fewRefused)
+}
+
+func TestSurges(t *testing.T) {
+	for _, x := range []float64{1.5, 4.7, 7.3} {
+		t.Run(fmt.Sprint(x), func(t *testing.T) {
+			const from, to = 15 * time.Second, 25 * time.Second
+			eachFleet(t, from, to, func(f *simFleet) { f.demand = surge(0.62, x, from, to) }, func(t *testing.T, a *tally) {
+				if got := a.admitted / seeds; got < leastAdmitted {
+					t.Errorf("admitted %.3f of the limit; allowed: at least %v", got, leastAdmitted)
+				}
+			})
+		})
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -38,6 +38,8 @@
 	// ColdFactor and ColdSlack bound the requests to a cold upstream in a second
 	// by its rate times the one plus the other.
 	ColdFactor, ColdSlack float64
+	// LimitSlack is how many requests of an organisation may run beyond its limit.
+	LimitSlack float64
 }
 
 // View is the state. It is not safe for concurrent use.
@@ -419,5 +421,6 @@
 		RetryBurst:  v.opt.Policy.RetrySlack,
 		ColdBurst:   v.opt.Policy.ColdSlack,
 		ColdFactor:  v.opt.Policy.ColdFactor,
+		LimitSlack:  v.opt.Policy.LimitSlack,
 	})
 }
