Limits: a part is set aside for entries that are not heard, by how many carry requests

Cause: in a fleet cut apart a report of a failure domain stood for all of it, though half of its entries were beyond the cut, and what silent ones had used shortly before was a poor measure: in virtual time 258 requests over a limit of 400/s in a cut in half, 1,250 in one across all domains. Change: a report says for how many carriers it speaks; the part of all others is set aside, from 0.5 s of silence on, and what had been left for their last requests is taken off the level. Ruled out: 0.8 s of silence (130 over). Organisations without requests cost nothing.

--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -71,6 +71,8 @@
 	HasUses   bool
 	UsesScope Scope
 	Uses      []quota.Use
+	// Covered is how many entries that carry requests the uses are of.
+	Covered int
 }
 
 // Fields of the encoding, a protobuf message.
@@ -92,6 +94,7 @@
 	fieldClaim       = 15
 	fieldUsesScope   = 16
 	fieldUses        = 17
+	fieldCovered     = 18
 )
 
 const (
@@ -178,6 +181,8 @@
 	if r.HasUses {
 		b = protowire.AppendTag(b, fieldUsesScope, protowire.VarintType)
 		b = protowire.AppendVarint(b, uint64(r.UsesScope))
+		b = protowire.AppendTag(b, fieldCovered, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(r.Covered))
 		b = protowire.AppendTag(b, fieldUses, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendUses(nil, r.Uses))
 	}
@@ -234,7 +239,7 @@
 	r := &Report{Last: allUpstreams}
 	var upstreams, requests, failures, absent, claim, uses []byte
 	var claims [][]byte
-	var usesScope, scope, doubt, doubtLeft, leaving, idle uint64
+	var covered, usesScope, scope, doubt, doubtLeft, leaving, idle uint64
 	err := eachField(b, func(field protowire.Number, kind protowire.Type, b []byte) (n int) {
 		switch {
 		case field == fieldEntry && kind == protowire.BytesType:
@@ -267,6 +272,8 @@
 		case field == fieldUsesScope && kind == protowire.VarintType:
 			usesScope, n = protowire.ConsumeVarint(b)
 			r.HasUses = true
+		case field == fieldCovered && kind == protowire.VarintType:
+			covered, n = protowire.ConsumeVarint(b)
 		case field == fieldUses && kind == protowire.BytesType:
 			uses, n = protowire.ConsumeBytes(b)
 		case field == fieldFirst && kind == protowire.Fixed32Type:
@@ -281,7 +288,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if usesScope >= uint64(ScopeNone) || scope > uint64(ScopeNone) || r.First > r.Last || doubt > maxDoubt || doubtLeft > maxDoubt {
+	if covered > maxCovered || usesScope >= uint64(ScopeNone) || scope > uint64(ScopeNone) || r.First > r.Last || doubt > maxDoubt || doubtLeft > maxDoubt {
 		return nil, errMalformed
 	}
 	r.Scope, r.Leaving, r.Idle = Scope(scope), leaving != 0, idle != 0
@@ -289,7 +296,7 @@
 	if err := r.decodeCounts(upstreams, requests); err != nil {
 		return nil, err
 	}
-	r.UsesScope = Scope(usesScope)
+	r.UsesScope, r.Covered = Scope(usesScope), int(covered)
 	if r.Uses, err = decodeUses(uses); err != nil {
 		return nil, err
 	}
--- a/internal/inflight/uses.go
+++ b/internal/inflight/uses.go
@@ -21,16 +21,20 @@
 	maxUses = 110
 	// usePart is the part of a request per second that is told.
 	usePart = 0.1
-	// maxUse bounds what is believed of a rate, in parts.
-	maxUse = 1 << 27
+	// maxUse bounds what is believed of a rate, in parts, and maxCovered of how many
+	// carriers a report speaks for.
+	maxUse     = 1 << 27
+	maxCovered = 1 << 20
 )
 
 // Limits is what an Exchange tells of the use of limits, and where it brings what it is told.
 type Limits interface {
 	// Uses returns the use by the own entry, and by the sources that are asked for.
 	Uses(own bool, from func(source string) bool, now time.Time) []quota.Use
-	// Heard takes in what a source tells.
-	Heard(source string, first, last uint32, uses []quota.Use, now time.Time)
+	// Covered returns for how many carriers beside the own entry the named sources speak.
+	Covered(from func(source string) bool, now time.Time) int
+	// Heard takes in what a source tells, which speaks for a number of carriers.
+	Heard(source string, covered int, first, last uint32, uses []quota.Use, now time.Time)
 	// Expect sets which sources there are.
 	Expect(sources []quota.Source, now time.Time)
 }
@@ -87,6 +91,10 @@
 	whole := Report{
 		Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq,
 		Scope: ScopeNone, HasUses: true, UsesScope: scope,
+		Covered: x.opt.Limits.Covered(from, now),
+	}
+	if own {
+		whole.Covered++
 	}
 	for _, r := range splitUses(whole, x.opt.Limits.Uses(own, from, now)) {
 		x.buf = r.Append(x.buf[:0])
@@ -103,10 +111,10 @@
 	}
 	var sources []quota.Source
 	for _, p := range fleet.Peers {
-		sources = append(sources, quota.Source{Name: p.ID, Weight: fleet.weight(p)})
+		sources = append(sources, quota.Source{Name: p.ID, Carriers: carriersOf(p)})
 	}
 	x.opt.Limits.Expect(sources, now)
-	x.tellUses(fleet.Peers, ScopeOwn, true, nil, now)
+	x.tellUses(fleet.Peers, ScopeOwn, true, nobody, now)
 }
 
 // useByHubs tells by hubs: an entry its hub; a hub each entry of its failure domain that
@@ -117,8 +125,8 @@
 	}
 	isHub := hub.ID == x.opt.Entry
 	if !isHub && len(busy)+len(idle) == 0 {
-		x.opt.Limits.Expect([]quota.Source{{Name: others, Weight: fleet.weightOfAll()}}, now)
-		x.tellUses([]Peer{hub}, ScopeOwn, true, nil, now)
+		x.opt.Limits.Expect([]quota.Source{{Name: others, Carriers: fleet.carriers()}}, now)
+		x.tellUses([]Peer{hub}, ScopeOwn, true, nobody, now)
 		return
 	}
 	x.opt.Limits.Expect(fleet.hubSources(x.opt.Entry), now)
@@ -131,10 +139,13 @@
 		x.tellUses([]Peer{p}, ScopeOthers, true, func(source string) bool { return source != p.ID }, now)
 	}
 	if !isHub {
-		x.tellUses([]Peer{hub}, ScopeOwn, true, nil, now)
+		x.tellUses([]Peer{hub}, ScopeOwn, true, nobody, now)
 	}
 }
 
+// nobody is no source at all.
+func nobody(string) bool { return false }
+
 // sourceOf names who a report of uses speaks for.
 func sourceOf(r *Report, from Peer) string {
 	switch r.UsesScope {
@@ -146,51 +157,41 @@
 	return from.ID
 }
 
-// carriers is how many entries carry requests, the own one among them.
-func (f *Fleet) carriers() float64 {
-	n := 1.0
-	for _, p := range f.Peers {
-		if p.Carries {
-			n++
-		}
+// carriersOf is 1 for a peer that carries requests.
+func carriersOf(p Peer) int {
+	if p.Carries {
+		return 1
 	}
-	return n
+	return 0
 }
 
-// weight is the share of the limits that is set aside for a peer until it tells its use.
-func (f *Fleet) weight(p Peer) float64 {
-	if !p.Carries {
-		return 0
+// carriers is how many peers carry requests.
+func (f *Fleet) carriers() int {
+	n := 0
+	for _, p := range f.Peers {
+		n += carriersOf(p)
 	}
-	return 1 / f.carriers()
+	return n
 }
 
-// weightOfAll is the same for all peers together.
-func (f *Fleet) weightOfAll() float64 { return 1 - 1/f.carriers() }
-
 // hubSources are the sources of a hub: the entries of its failure domain and the other
 // failure domains.
 func (f *Fleet) hubSources(self string) []quota.Source {
-	carriers := f.carriers()
-	byDomain := make(map[string]float64)
+	byDomain := make(map[string]int)
 	own := make(map[string]bool, len(f.Hubs))
 	for _, p := range f.Hubs {
 		own[p.ID] = true
 	}
 	var out []quota.Source
 	for _, p := range f.Peers {
-		share := 0.0
-		if p.Carries {
-			share = 1 / carriers
-		}
-		if own[p.ID] && p.ID != self {
-			out = append(out, quota.Source{Name: p.ID, Weight: share})
-			continue
+		if !own[p.ID] {
+			byDomain[p.Domain] += carriersOf(p)
+		} else if p.ID != self {
+			out = append(out, quota.Source{Name: p.ID, Carriers: carriersOf(p)})
 		}
-		byDomain[p.Domain] += share
 	}
-	for domain, weight := range byDomain {
-		out = append(out, quota.Source{Name: others + domain, Weight: weight})
+	for domain, n := range byDomain {
+		out = append(out, quota.Source{Name: others + domain, Carriers: n})
 	}
 	return out
 }
@@ -198,6 +199,6 @@
 // takeUses brings in what a peer told of the use of limits.
 func (x *Exchange) takeUses(r *Report, from Peer, now time.Time) {
 	if x.opt.Limits != nil {
-		x.opt.Limits.Heard(sourceOf(r, from), r.First, r.Last, r.Uses, now)
+		x.opt.Limits.Heard(sourceOf(r, from), r.Covered, r.First, r.Last, r.Uses, now)
 	}
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/model"
@@ -16,8 +17,6 @@
 	// those that were asked for.
 	rateOver  = 200 * time.Millisecond
 	askedOver = time.Second
-	// slowOver is the time constant of the rate that a silent source is taken to go on with.
-	slowOver = 1500 * time.Millisecond
 	// extraShare is the part of the slack that is always there to be used, as if the burst
 	// were larger. The rest is for requests that the entries do not know of each other.
 	extraShare = 0.4
@@ -39,9 +38,6 @@
 // use is the use of a limit by one source, in requests per second.
 type use struct {
 	admitted, asked float64
-	// slow is admitted over a longer time, as of at.
-	slow float64
-	at   time.Time
 }
 
 // bucket is the limit of one organisation as one entry sees it: a token bucket that all
@@ -53,6 +49,11 @@
 // entry asks for, and admits no more than its part: the parts of all entries together are
 // the level, whatever each does meanwhile.
 type bucket struct {
+	name string
+	hash uint32
+	// active is set while the bucket is one that others are told of.
+	active atomic.Bool
+
 	mu    sync.Mutex
 	limit model.Limit
 	slack float64
@@ -62,13 +63,11 @@
 	admitted, asked window
 	// told is what each source told last.
 	told map[string]use
-	// heard is the sum of what the sources tell that are heard now, silent the rate that is
-	// set aside for those that are not.
-	heard  use
-	silent float64
-	// unknown is the part of the limit that is set aside for sources which have told
-	// nothing yet.
-	unknown float64
+	// heard is the sum of what the sources tell that are heard now.
+	heard use
+	// missing is the part of the limit that is set aside for entries which are not heard:
+	// they may go on, and set the part of this one aside in turn.
+	missing float64
 	// self is the share of this entry in the limit if all ask for the same.
 	self float64
 	// nextReturn is when the last refused caller was told to come back.
@@ -78,13 +77,11 @@
 }
 
 // rate is what is left of the limit's rate for this entry and those that it hears.
-func (b *bucket) rate() float64 {
-	return math.Max(0, b.limit.Rate*(1-b.unknown)-b.silent)
-}
+func (b *bucket) rate() float64 { return b.limit.Rate * (1 - b.missing) }
 
 // capacity is the highest level. While others are not heard their part is not counted in.
 func (b *bucket) capacity() float64 {
-	return (b.limit.Burst + extraShare*b.slack) * b.rate() / b.limit.Rate
+	return (b.limit.Burst + extraShare*b.slack) * (1 - b.missing)
 }
 
 // advance brings the level up to a time.
@@ -94,6 +91,9 @@
 		return
 	}
 	b.at = now
+	if b.limit.Rate <= 0 {
+		return
+	}
 	b.level += (b.rate() - b.heard.admitted) * elapsed
 	b.level = math.Max(-maxDebt*b.limit.Rate-b.limit.Burst, math.Min(b.level, b.capacity()))
 }
@@ -168,55 +168,85 @@
 	return max(minRetry, b.nextReturn.Sub(now))
 }
 
-// hear takes in what a source tells.
-func (b *bucket) hear(now time.Time, source string, admitted, asked float64) {
+// hear takes in what a source tells. It reports whether that is news.
+func (b *bucket) hear(source string, u use) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u := b.told[source]
-	weight := 1.0
-	if !u.at.IsZero() {
-		weight = 1 - math.Exp(-float64(now.Sub(u.at))/float64(slowOver))
+	if b.told[source] == u {
+		return false
 	}
-	u.slow += (admitted - u.slow) * weight
-	u.admitted, u.asked, u.at = admitted, asked, now
-	if u.slow < minSlow && admitted == 0 && asked == 0 {
+	if u == (use{}) {
 		delete(b.told, source)
-		return
+		return true
 	}
 	if b.told == nil {
 		b.told = make(map[string]use)
 	}
 	b.told[source] = u
+	return true
 }
 
-// minSlow is the rate in requests per second below which a source counts as one that uses
-// nothing of a limit.
-const minSlow = 0.01
-
 // settle sums up what the sources tell.
 func (b *bucket) settle(now time.Time, s *sources) {
+	missing, self := s.missing(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit.Rate > 0 {
-		b.advance(now)
+	b.advance(now)
+	if more := missing - b.missing; more > 0 {
+		// What was left for the latest requests of those that are not heard any more is
+		// not for the others.
+		b.level -= more * b.limit.Rate * unseenFor.Seconds()
 	}
-	b.heard, b.silent, b.unknown, b.self = use{}, 0, s.unknown, s.self
+	b.heard, b.missing, b.self = use{}, missing, self
 	for name, u := range b.told {
-		switch src, ok := s.byName[name]; {
-		case !ok:
+		switch src := s.byName[name]; {
+		case src == nil:
 			delete(b.told, name)
-		case src.silent(now):
-			b.silent += u.slow
-		default:
+		case src.fresh(now):
 			b.heard.admitted += u.admitted
 			b.heard.asked += u.asked
 		}
 	}
 }
 
-// own returns the rates of the own requests.
-func (b *bucket) own(now time.Time) (admitted, asked float64) {
+// uses returns the rates of the own requests, and those that the named sources told.
+func (b *bucket) uses(from func(source string) bool, now time.Time) (own, told use) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.admitted.sum(now, slotLength, slotLength+rateOver) / rateOver.Seconds(), b.asked.sum(now, slotLength, slotLength+askedOver) / askedOver.Seconds()
+	own.admitted = b.admitted.sum(now, slotLength, slotLength+rateOver) / rateOver.Seconds()
+	own.asked = b.asked.sum(now, slotLength, slotLength+askedOver) / askedOver.Seconds()
+	for name, u := range b.told {
+		if from(name) {
+			told.admitted += u.admitted
+			told.asked += u.asked
+		}
+	}
+	return own, told
+}
+
+// idle reports whether neither this entry nor another has had a request of late.
+func (b *bucket) idle(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.told) == 0 && b.asked.sum(now, 0, slots*slotLength) == 0 && b.admitted.sum(now, 0, slots*slotLength) == 0
+}
+
+// set changes the limit. What was admitted under the one before counts.
+func (b *bucket) set(limit model.Limit, slack float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.limit, b.slack = limit, slack
+	b.level = math.Min(b.level, b.capacity())
+}
+
+// status is the state for metrics and dumps; false if there is no limit.
+func (b *bucket) status(now time.Time) (Status, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return Status{
+		Organisation: b.name, Rate: b.limit.Rate, Burst: b.limit.Burst, Level: b.level, Part: b.part(now),
+		Own: b.admitted.sum(now, 0, askedOver) / askedOver.Seconds(), Others: b.heard.admitted, Missing: b.missing, Refused: b.refused,
+	}, b.limit.Rate > 0
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -169,21 +169,20 @@
 }
 
 func (f *simFleet) expect(n *simNode) {
-	carriers := float64(f.domains * simCarriers)
 	if f.hub(n.domain, n) != n {
-		n.limiter.Expect([]Source{{"*", 1 - 1/carriers}}, n.clock(f.now))
+		n.limiter.Expect([]Source{{"*", f.domains*simCarriers - 1}}, n.clock(f.now))
 		return
 	}
 	var list []Source
 	for d := range f.domains {
 		if d != n.domain {
-			list = append(list, Source{"*" + strconv.Itoa(d), simCarriers / carriers})
+			list = append(list, Source{"*" + strconv.Itoa(d), simCarriers})
 		}
 	}
 	for i := range f.perDom {
 		p := f.nodes[i*f.domains+n.domain]
 		if p != n && f.carries(p) {
-			list = append(list, Source{p.name, 1 / carriers})
+			list = append(list, Source{p.name, 1})
 		} else if p != n {
 			list = append(list, Source{p.name, 0})
 		}
@@ -194,29 +193,29 @@
 func (f *simFleet) report(n *simNode) {
 	f.expect(n)
 	h := f.hub(n.domain, n)
-	now := n.clock(f.now)
 	if h != n {
 		if f.carries(n) {
-			f.tell(n, h, n.name, n.limiter.Uses(true, nil, now))
+			f.tell(n, h, n.name, func(string) bool { return false })
 		}
 		return
 	}
 	own := func(s string) bool { return s[0] == 'n' }
-	sum := n.limiter.Uses(true, own, now)
 	for d := range f.domains {
 		if r := f.hub(d, n); d != n.domain && r != nil {
-			f.tell(n, r, "*"+strconv.Itoa(n.domain), sum)
+			f.tell(n, r, "*"+strconv.Itoa(n.domain), own)
 		}
 	}
 	for i := range f.perDom {
 		p := f.nodes[i*f.domains+n.domain]
 		if p != n && f.carries(p) && !p.dead {
-			f.tell(n, p, "*", n.limiter.Uses(true, func(s string) bool { return s != p.name }, now))
+			f.tell(n, p, "*", func(s string) bool { return s != p.name })
 		}
 	}
 }
 
-func (f *simFleet) tell(from, to *simNode, source string, uses []Use) {
+func (f *simFleet) tell(from, to *simNode, source string, whose func(string) bool) {
+	now := from.clock(f.now)
+	uses, covered := from.limiter.Uses(true, whose, now), 1+from.limiter.Covered(whose, now)
 	if f.rnd.Float64() < lost || from.island != to.island {
 		return
 	}
@@ -227,7 +226,7 @@
 	}
 	f.after(delay, func() {
 		if !to.dead && to.island == from.island {
-			to.limiter.Heard(source, 0, 1<<32-1, uses, to.clock(f.now))
+			to.limiter.Heard(source, covered, 0, 1<<32-1, uses, to.clock(f.now))
 		}
 	})
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -4,12 +4,11 @@
 // Entries tell each other at what rate they admit and are asked for the requests of each
 // organisation. Each follows the one token bucket that an organisation has in the whole
 // fleet and admits its part of what is there; see bucket. For entries that are not heard
-// what they used is set aside, so that the halves of a fleet that is cut apart together
-// admit no more than the whole. It does no I/O and reads no clock.
+// their part is set aside, so that the halves of a fleet that is cut apart together admit no
+// more than the whole. It does no I/O and reads no clock.
 package quota
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,14 +38,15 @@
 	mu      sync.Mutex
 	sources sources
 	byHash  map[uint32]*bucket
-	names   map[uint32]string
-	table   *model.Organisations
-	slack   float64
+	// active are the buckets that have requests, here or elsewhere.
+	active map[*bucket]bool
+	table  *model.Organisations
+	slack  float64
 }
 
 // NewLimiter returns a Limiter that limits nobody.
 func NewLimiter() *Limiter {
-	l := &Limiter{sources: sources{self: 1}}
+	l := &Limiter{active: make(map[*bucket]bool)}
 	l.buckets.Store(&map[string]*bucket{})
 	return l
 }
@@ -64,39 +64,27 @@
 	was := *l.buckets.Load()
 	next := make(map[string]*bucket, len(table.All()))
 	l.byHash = make(map[uint32]*bucket, len(table.All()))
-	l.names = make(map[uint32]string, len(table.All()))
 	for _, o := range table.All() {
 		b := was[o.Name]
 		if b == nil {
-			b = &bucket{at: now}
+			b = &bucket{name: o.Name, hash: HashName(o.Name), at: now}
 		}
 		b.set(o.Limit, slack, now)
 		b.settle(now, &l.sources)
-		next[o.Name] = b
-		l.byHash[HashName(o.Name)], l.names[HashName(o.Name)] = b, o.Name
+		next[o.Name], l.byHash[b.hash] = b, b
 	}
-	l.buckets.Store(&next)
-}
-
-// set changes the limit. What was admitted under the one before counts.
-func (b *bucket) set(limit model.Limit, slack float64, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.limit.Rate > 0 {
-		b.advance(now)
-	} else {
-		b.at = now
-	}
-	b.limit, b.slack = limit, slack
-	if limit.Rate > 0 {
-		b.level = math.Min(b.level, b.capacity())
+	for b := range l.active {
+		if next[b.name] != b {
+			delete(l.active, b)
+		}
 	}
+	l.buckets.Store(&next)
 }
 
 // Take admits one request of an organisation, or returns after what time the caller may
 // come back.
 func (l *Limiter) Take(organisation string, now time.Time) (ok bool, retryAfter time.Duration) {
-	b := (*l.buckets.Load())[organisation]
+	b := l.bucket(organisation)
 	if b == nil {
 		return true, 0
 	}
@@ -106,50 +94,75 @@
 // Charge counts one more request of an organisation, which is sent in any case: an
 // upstream may have run the request already, and another is to.
 func (l *Limiter) Charge(organisation string, now time.Time) {
-	if b := (*l.buckets.Load())[organisation]; b != nil {
+	if b := l.bucket(organisation); b != nil {
 		b.charge(now, 1)
 	}
 }
 
 // Return gives back a request that no upstream ran.
 func (l *Limiter) Return(organisation string, now time.Time) {
-	if b := (*l.buckets.Load())[organisation]; b != nil {
+	if b := l.bucket(organisation); b != nil {
 		b.charge(now, -1)
 	}
 }
 
+// bucket returns the bucket of an organisation that has a request, or nil.
+func (l *Limiter) bucket(organisation string) *bucket {
+	b := (*l.buckets.Load())[organisation]
+	if b != nil && !b.active.Load() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.activate(b)
+	}
+	return b
+}
+
+// activate has a bucket told of to others. The caller holds the lock.
+func (l *Limiter) activate(b *bucket) {
+	if !b.active.Swap(true) {
+		l.active[b] = true
+	}
+}
+
 // Expect sets which sources tell of the requests of other entries.
 func (l *Limiter) Expect(list []Source, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sources.expect(list)
-	l.settle(now)
+	if !l.sources.expect(list, now) {
+		return
+	}
+	for _, b := range l.byHash {
+		b.settle(now, &l.sources)
+	}
+}
+
+// Covered returns for how many carriers beside the own entry the named sources speak.
+func (l *Limiter) Covered(from func(source string) bool, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sources.covered(from, now)
 }
 
-// Heard takes in what a source tells of the organisations whose hashes lie from first to
-// last; one that it does not name it has no requests of.
-func (l *Limiter) Heard(source string, first, last uint32, uses []Use, now time.Time) {
+// Heard takes in what a source, which speaks for a number of carriers, tells of the
+// organisations whose hashes lie from first to last; one that it does not name it has no
+// requests of.
+func (l *Limiter) Heard(source string, covered int, first, last uint32, uses []Use, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.sources.heard(source, now) {
+	if !l.sources.heard(source, covered, now) {
 		return
 	}
-	named := make(map[uint32]Use, len(uses))
+	named := make(map[*bucket]use, len(uses))
 	for _, u := range uses {
-		named[u.Organisation] = u
-	}
-	for hash, b := range l.byHash {
-		if hash >= first && hash <= last {
-			b.hear(now, source, named[hash].Admitted, named[hash].Asked)
+		if b := l.byHash[u.Organisation]; b != nil {
+			l.activate(b)
+			named[b] = use{u.Admitted, u.Asked}
 		}
 	}
-	l.settle(now)
-}
-
-// settle sums up what the sources tell, for all organisations. The caller holds the lock.
-func (l *Limiter) settle(now time.Time) {
-	for _, b := range l.byHash {
-		b.settle(now, &l.sources)
+	for b := range l.active {
+		if b.hash >= first && b.hash <= last && b.hear(source, named[b]) {
+			b.settle(now, &l.sources)
+		}
 	}
 }
 
@@ -158,32 +171,28 @@
 func (l *Limiter) Uses(own bool, from func(source string) bool, now time.Time) []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	fresh := func(name string) bool {
+		src := l.sources.byName[name]
+		return src != nil && src.fresh(now) && from(name)
+	}
 	var out []Use
-	for hash, b := range l.byHash {
-		u := Use{Organisation: hash}
+	for b := range l.active {
+		mine, told := b.uses(fresh, now)
+		if mine == (use{}) && b.idle(now) {
+			b.active.Store(false)
+			delete(l.active, b)
+		}
 		if own {
-			u.Admitted, u.Asked = b.own(now)
+			told.admitted += mine.admitted
+			told.asked += mine.asked
 		}
-		u.add(b, from)
-		if u.Admitted > 0 || u.Asked > 0 {
-			out = append(out, u)
+		if told != (use{}) {
+			out = append(out, Use{Organisation: b.hash, Admitted: told.admitted, Asked: told.asked})
 		}
 	}
 	return out
 }
 
-// add counts in what the named sources told.
-func (u *Use) add(b *bucket, from func(source string) bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for name, t := range b.told {
-		if from != nil && from(name) {
-			u.Admitted += t.admitted
-			u.Asked += t.asked
-		}
-	}
-}
-
 // Status is the limit of one organisation as this entry sees it, for metrics and dumps.
 type Status struct {
 	Organisation string  `json:"organisation"`
@@ -193,13 +202,11 @@
 	// entry in it.
 	Level float64 `json:"level"`
 	Part  float64 `json:"part"`
-	// Own and Others are the rates at which this and the other entries admit requests,
-	// Silent the rate that is set aside for those that are not heard, and Unknown the share
-	// of the limit for those that never were.
+	// Own and Others are the rates at which this and the other entries admit requests, and
+	// Missing the share of the limit that is set aside for entries that are not heard.
 	Own     float64 `json:"own_per_s"`
 	Others  float64 `json:"others_per_s"`
-	Silent  float64 `json:"silent_per_s"`
-	Unknown float64 `json:"unknown_share"`
+	Missing float64 `json:"missing_share"`
 	// Refused counts the requests that this entry refused.
 	Refused int64 `json:"refused"`
 }
@@ -209,25 +216,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Status
-	for hash, b := range l.byHash {
-		if s, ok := b.status(now); ok && len(out) < n {
-			s.Organisation = l.names[hash]
+	for b := range l.active {
+		if len(out) == n {
+			break
+		}
+		if s, ok := b.status(now); ok {
 			out = append(out, s)
 		}
 	}
 	return out
 }
-
-func (b *bucket) status(now time.Time) (Status, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.limit.Rate <= 0 {
-		return Status{}, false
-	}
-	b.advance(now)
-	own := b.admitted.sum(now, slotLength, slotLength+rateOver) / rateOver.Seconds()
-	return Status{
-		Rate: b.limit.Rate, Burst: b.limit.Burst, Level: b.level, Part: b.part(now),
-		Own: own, Others: b.heard.admitted, Silent: b.silent, Unknown: b.unknown, Refused: b.refused,
-	}, own > 0 || b.heard.admitted > 0 || b.refused > 0
-}
