Limits: entries that disagree on their hub, restarts, entries with few requests

Seen in lines of the limits' state: entries whose requests were refused counted as idle and were told nothing; two hubs of one failure domain took each other's place as its voice; each time that more was missing something was taken off the level and never given back; a limit that was new took it off at once. Change: several entries may speak for a source, their words add up, or for all others the one counts that tells of most; carriers are told also while idle; requests of organisations make an entry busy; what is set aside is given back when those are heard again that it was for. Ruled out: entries that speak for others in sums of sums.

--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -79,6 +79,8 @@
 	// idle were last told. Only the goroutine that sends uses them.
 	busyUntil time.Time
 	toldIdle  time.Time
+	// relays is set while this entry has a hub, also if others take it for theirs.
+	relays bool
 
 	mu       sync.Mutex
 	hubs     *hubs
@@ -347,7 +349,7 @@
 			return
 		}
 		if r.HasUses {
-			x.takeUses(r, p, now)
+			x.takeUses(r, p, fleet, now)
 			return
 		}
 		if r.Scope == ScopeNone {
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -73,6 +73,8 @@
 	Uses      []quota.Use
 	// Covered is how many entries that carry requests the uses are of.
 	Covered int
+	// Relayed is set if the uses are what another hub told the sender.
+	Relayed bool
 }
 
 // Fields of the encoding, a protobuf message.
@@ -95,6 +97,7 @@
 	fieldUsesScope   = 16
 	fieldUses        = 17
 	fieldCovered     = 18
+	fieldRelayed     = 19
 )
 
 const (
@@ -183,6 +186,10 @@
 		b = protowire.AppendVarint(b, uint64(r.UsesScope))
 		b = protowire.AppendTag(b, fieldCovered, protowire.VarintType)
 		b = protowire.AppendVarint(b, uint64(r.Covered))
+		if r.Relayed {
+			b = protowire.AppendTag(b, fieldRelayed, protowire.VarintType)
+			b = protowire.AppendVarint(b, 1)
+		}
 		b = protowire.AppendTag(b, fieldUses, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendUses(nil, r.Uses))
 	}
@@ -239,7 +246,7 @@
 	r := &Report{Last: allUpstreams}
 	var upstreams, requests, failures, absent, claim, uses []byte
 	var claims [][]byte
-	var covered, usesScope, scope, doubt, doubtLeft, leaving, idle uint64
+	var relayed, covered, usesScope, scope, doubt, doubtLeft, leaving, idle uint64
 	err := eachField(b, func(field protowire.Number, kind protowire.Type, b []byte) (n int) {
 		switch {
 		case field == fieldEntry && kind == protowire.BytesType:
@@ -274,6 +281,8 @@
 			r.HasUses = true
 		case field == fieldCovered && kind == protowire.VarintType:
 			covered, n = protowire.ConsumeVarint(b)
+		case field == fieldRelayed && kind == protowire.VarintType:
+			relayed, n = protowire.ConsumeVarint(b)
 		case field == fieldUses && kind == protowire.BytesType:
 			uses, n = protowire.ConsumeBytes(b)
 		case field == fieldFirst && kind == protowire.Fixed32Type:
@@ -296,7 +305,7 @@
 	if err := r.decodeCounts(upstreams, requests); err != nil {
 		return nil, err
 	}
-	r.UsesScope, r.Covered = Scope(usesScope), int(covered)
+	r.UsesScope, r.Covered, r.Relayed = Scope(usesScope), int(covered), relayed != 0
 	if r.Uses, err = decodeUses(uses); err != nil {
 		return nil, err
 	}
--- a/internal/inflight/uses.go
+++ b/internal/inflight/uses.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -29,12 +30,12 @@
 
 // Limits is what an Exchange tells of the use of limits, and where it brings what it is told.
 type Limits interface {
-	// Uses returns the use by the own entry, and by the sources that are asked for.
-	Uses(own bool, from func(source string) bool, now time.Time) []quota.Use
-	// Covered returns for how many carriers beside the own entry the named sources speak.
-	Covered(from func(source string) bool, now time.Time) int
-	// Heard takes in what a source tells, which speaks for a number of carriers.
-	Heard(source string, covered int, first, last uint32, uses []quota.Use, now time.Time)
+	// Uses returns the use by the own entry, and what the speakers tell that are asked for.
+	Uses(own bool, from func(speaker string) bool, now time.Time) []quota.Use
+	// Covered returns of how many carriers beside the own entry these speakers tell.
+	Covered(from func(speaker string) bool, now time.Time) int
+	// Heard takes in what a speaker tells.
+	Heard(t quota.Told, now time.Time)
 	// Expect sets which sources there are.
 	Expect(sources []quota.Source, now time.Time)
 }
@@ -84,14 +85,15 @@
 }
 
 // tellUses tells peers the use of limits.
-func (x *Exchange) tellUses(peers []Peer, scope Scope, own bool, from func(source string) bool, now time.Time) {
+func (x *Exchange) tellUses(peers []Peer, scope Scope, own bool, from func(speaker string) bool, now time.Time) {
 	if len(peers) == 0 {
 		return
 	}
 	whole := Report{
 		Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq,
 		Scope: ScopeNone, HasUses: true, UsesScope: scope,
-		Covered: x.opt.Limits.Covered(from, now),
+		Covered: x.opt.Limits.Covered(from, now), Idle: x.idle(now),
+		Relayed: scope == ScopeOthers && x.relays,
 	}
 	if own {
 		whole.Covered++
@@ -109,52 +111,75 @@
 	if x.opt.Limits == nil {
 		return
 	}
-	var sources []quota.Source
-	for _, p := range fleet.Peers {
-		sources = append(sources, quota.Source{Name: p.ID, Carriers: carriersOf(p)})
-	}
-	x.opt.Limits.Expect(sources, now)
+	x.opt.Limits.Expect([]quota.Source{{Name: peersSource, Carriers: fleet.carriers()}}, now)
 	x.tellUses(fleet.Peers, ScopeOwn, true, nobody, now)
 }
 
-// useByHubs tells by hubs: an entry its hub; a hub each entry of its failure domain that
-// carries requests the sum of all others, and the other hubs the sum of its own.
+// useByHubs tells by hubs: an entry tells its hub its own use; a hub the other hubs the sum
+// of its failure domain, and each entry of it that carries requests the sum of all others.
+//
+// Entries may disagree for a while on who is hub. One that others take for theirs, but which
+// has one itself, tells that one the sum of the others, and them what that one tells. No sum
+// is made of sums that were made in the same way, or they would go round and grow.
 func (x *Exchange) useByHubs(fleet Fleet, hub Peer, busy, idle, remote []Peer, now time.Time) {
 	if x.opt.Limits == nil {
 		return
 	}
-	isHub := hub.ID == x.opt.Entry
-	if !isHub && len(busy)+len(idle) == 0 {
-		x.opt.Limits.Expect([]quota.Source{{Name: others, Carriers: fleet.carriers()}}, now)
-		x.tellUses([]Peer{hub}, ScopeOwn, true, nobody, now)
-		return
-	}
-	x.opt.Limits.Expect(fleet.hubSources(x.opt.Entry), now)
-	mine := make(map[string]bool, len(fleet.Hubs))
+	mine := make(map[string]bool, 2*len(fleet.Hubs))
 	for _, p := range fleet.Hubs {
-		mine[p.ID] = true
-	}
-	x.tellUses(remote, ScopeDomain, isHub, func(source string) bool { return mine[source] }, now)
-	for _, p := range busy {
-		x.tellUses([]Peer{p}, ScopeOthers, true, func(source string) bool { return source != p.ID }, now)
-	}
-	if !isHub {
+		mine[p.ID] = p.ID != hub.ID
+	}
+	below := func(speaker string) bool { return mine[speaker] }
+	told := func(p Peer) func(string) bool {
+		return func(speaker string) bool { return speaker != p.ID }
+	}
+	x.relays = hub.ID != x.opt.Entry
+	if !x.relays {
+		x.opt.Limits.Expect(fleet.hubSources(), now)
+		domain := func(speaker string) bool { return mine[strings.TrimSuffix(speaker, sumMark)] }
+		x.tellUses(remote, ScopeDomain, true, domain, now)
+	} else {
+		x.opt.Limits.Expect([]quota.Source{{Name: others, Carriers: fleet.carriers(), Whole: true}, {Name: peersSource}}, now)
 		x.tellUses([]Peer{hub}, ScopeOwn, true, nobody, now)
+		if len(busy)+len(idle) > 0 {
+			x.tellUses([]Peer{hub}, ScopeDomain, false, below, now)
+		}
+		told = func(Peer) func(string) bool { return fromHub }
+	}
+	for _, p := range slices.Concat(busy, carriersAmong(idle)) {
+		x.tellUses([]Peer{p}, ScopeOthers, true, told(p), now)
 	}
 }
 
-// nobody is no source at all.
+// Names of speakers: an entry's own use goes by its id, a sum of others by that and a mark.
+const (
+	sumMark     = "+"
+	wholeMark   = "*"
+	relayedMark = "~"
+)
+
+// fromHub asks for the hub's word on all others, unless that is relayed itself.
+func fromHub(speaker string) bool { return strings.HasSuffix(speaker, wholeMark) }
+
+// peersSource names the entries that report to this one, as a source.
+const peersSource = "peers"
+
+// nobody asks for no speaker.
 func nobody(string) bool { return false }
 
-// sourceOf names who a report of uses speaks for.
-func sourceOf(r *Report, from Peer) string {
-	switch r.UsesScope {
-	case ScopeOthers:
-		return others
-	case ScopeDomain:
-		return others + from.Domain
-	}
-	return from.ID
+// sourceOf names what a report of uses speaks for, and who speaks.
+func (x *Exchange) sourceOf(r *Report, from Peer, own map[string]bool) (source, speaker string) {
+	switch {
+	case r.UsesScope == ScopeOthers && r.Relayed:
+		return others, from.ID + relayedMark
+	case r.UsesScope == ScopeOthers:
+		return others, from.ID + wholeMark
+	case r.UsesScope == ScopeDomain && own[from.ID]:
+		return peersSource, from.ID + sumMark
+	case r.UsesScope == ScopeDomain:
+		return others + from.Domain, from.ID + sumMark
+	}
+	return peersSource, from.ID
 }
 
 // carriersOf is 1 for a peer that carries requests.
@@ -165,6 +190,11 @@
 	return 0
 }
 
+// carriersAmong returns the peers that carry requests.
+func carriersAmong(peers []Peer) []Peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !p.Carries })
+}
+
 // carriers is how many peers carry requests.
 func (f *Fleet) carriers() int {
 	n := 0
@@ -176,20 +206,21 @@
 
 // hubSources are the sources of a hub: the entries of its failure domain and the other
 // failure domains.
-func (f *Fleet) hubSources(self string) []quota.Source {
+func (f *Fleet) hubSources() []quota.Source {
 	byDomain := make(map[string]int)
 	own := make(map[string]bool, len(f.Hubs))
 	for _, p := range f.Hubs {
 		own[p.ID] = true
 	}
-	var out []quota.Source
+	mine := 0
 	for _, p := range f.Peers {
-		if !own[p.ID] {
+		if own[p.ID] {
+			mine += carriersOf(p)
+		} else {
 			byDomain[p.Domain] += carriersOf(p)
-		} else if p.ID != self {
-			out = append(out, quota.Source{Name: p.ID, Carriers: carriersOf(p)})
 		}
 	}
+	out := []quota.Source{{Name: peersSource, Carriers: mine}}
 	for domain, n := range byDomain {
 		out = append(out, quota.Source{Name: others + domain, Carriers: n})
 	}
@@ -197,8 +228,15 @@
 }
 
 // takeUses brings in what a peer told of the use of limits.
-func (x *Exchange) takeUses(r *Report, from Peer, now time.Time) {
-	if x.opt.Limits != nil {
-		x.opt.Limits.Heard(sourceOf(r, from), r.Covered, r.First, r.Last, r.Uses, now)
+func (x *Exchange) takeUses(r *Report, from Peer, fleet Fleet, now time.Time) {
+	if x.opt.Limits == nil {
+		return
+	}
+	own := make(map[string]bool, len(fleet.Hubs))
+	for _, p := range fleet.Hubs {
+		own[p.ID] = true
 	}
+	t := quota.Told{Covered: r.Covered, Idle: r.Idle, First: r.First, Last: r.Last, Uses: r.Uses}
+	t.Source, t.Speaker = x.sourceOf(r, from, own)
+	x.opt.Limits.Heard(t, now)
 }
--- /dev/null
+++ b/internal/inflight/uses_test.go
@@ -0,0 +1,77 @@
+package inflight
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/loomkeel/loomkeel/internal/quota"
+)
+
+func TestUsesAreReadBack(t *testing.T) {
+	want := Report{Entry: "edge-sohar-hall-12", Scope: ScopeNone, HasUses: true, UsesScope: ScopeDomain, Covered: 3, Last: allUpstreams}
+	var uses []quota.Use
+	for i := range 2*maxUses + 7 {
+		uses = append(uses, quota.Use{Organisation: uint32(i) << 20, Admitted: 100_000, Asked: 200_000.5})
+	}
+	var got []quota.Use
+	next := uint32(0)
+	parts := splitUses(want, uses)
+	for _, r := range parts {
+		b := r.Append(nil)
+		if len(b) > maxDatagram {
+			t.Errorf("%d bytes", len(b))
+		}
+		back, err := Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !back.HasUses || back.UsesScope != ScopeDomain || back.Covered != 3 || back.First != next {
+			t.Errorf("%+v", back)
+		}
+		next = back.Last + 1
+		got = append(got, back.Uses...)
+	}
+	if len(parts) != 3 || next != 0 || !reflect.DeepEqual(got, uses) {
+		t.Errorf("%d reports, the last ends at %d, %d uses", len(parts), next, len(got))
+	}
+}
+
+func TestBadUsesAreRefused(t *testing.T) {
+	r := Report{Entry: "e", Scope: ScopeNone, HasUses: true, Covered: maxCovered + 1, Last: allUpstreams}
+	if _, err := Decode(r.Append(nil)); err == nil {
+		t.Error("a report that speaks for too many is taken")
+	}
+	r.Covered, r.Uses = 1, []quota.Use{{Organisation: 1, Admitted: maxUse}}
+	if _, err := Decode(r.Append(nil)); err == nil {
+		t.Error("a use beyond all bounds is taken")
+	}
+	r.Uses = []quota.Use{{Organisation: 1, Admitted: 5, Asked: 5}}
+	whole := r.Append(nil)
+	for n := 1; n < 6; n++ {
+		if _, err := Decode(whole[:len(whole)-n]); err == nil {
+			t.Errorf("a report cut by %d bytes is taken", n)
+		}
+	}
+}
+
+// Where each entry tells each other one they are all sources; a hub's are the entries of its
+// failure domain and the other domains.
+func TestSourcesOfAHub(t *testing.T) {
+	f := Fleet{
+		Peers: []Peer{
+			{ID: "a1", Domain: "a", Carries: true}, {ID: "a2", Domain: "a"},
+			{ID: "b1", Domain: "b", Carries: true}, {ID: "b2", Domain: "b", Carries: true}, {ID: "c1", Domain: "c"},
+		},
+		Hubs: []Peer{{ID: "self"}, {ID: "a1"}, {ID: "a2"}},
+	}
+	got := make(map[string]int)
+	for _, s := range f.hubSources() {
+		got[s.Name] = s.Carriers
+	}
+	if want := map[string]int{"peers": 1, "*b": 2, "*c": 0}; !reflect.DeepEqual(got, want) {
+		t.Errorf("%v", got)
+	}
+	if f.carriers() != 3 {
+		t.Errorf("%d carriers", f.carriers())
+	}
+}
--- a/internal/model/organisation.go
+++ b/internal/model/organisation.go
@@ -37,7 +37,7 @@
 }
 
 // Key is what a caller proves its organisation by. It is a secret: however a Key is
-// printed or encoded, its value does not show.
+// printed, or encoded as a value, it does not show.
 type Key string
 
 // hiddenKey stands in for a key's value.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,13 +279,18 @@
 		Claims:      n.Entry.Carrier.Claims,
 		Limits:      n.Entry.Carrier.Limits(),
 		Leaving:     n.stopping.Load,
-		Busy:        func() bool { return n.Entry.Carrier.InFlight() > lightLoad },
+		Busy:        n.busy,
 		Heard:       n.heard,
 		Now:         n.check,
 		Stranger:    func(from netip.AddrPort) { n.Strangers.Heard(from.String(), n.now()) },
 	}
 }
 
+// busy reports whether others have to hear of the node's requests at once.
+func (n *Node) busy() bool {
+	return n.Entry.Carrier.InFlight() > lightLoad || n.Entry.Carrier.Limits().InUse(n.now())
+}
+
 func (n *Node) counts(whose balance.Counted) []inflight.Count {
 	var out []inflight.Count
 	n.Entry.Carrier.LoadAt(whose, func(upstream uint32, l balance.Load) {
--- /dev/null
+++ b/internal/quota/bench_test.go
@@ -0,0 +1,60 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+// manyOrganisations is a Limiter with a number of them, told by a hub of half of them.
+func manyOrganisations(n int) (*Limiter, []string, []Use) {
+	var list []*model.Organisation
+	var names []string
+	var uses []Use
+	for i := range n {
+		name := fmt.Sprint("organisation-", i)
+		names = append(names, name)
+		list = append(list, &model.Organisation{Name: name, Limit: model.Limit{Rate: 1e6, Burst: 1e6}})
+		if i%2 == 0 {
+			uses = append(uses, Use{HashName(name), 3, 3})
+		}
+	}
+	table, err := model.NewOrganisations(list, nil)
+	if err != nil {
+		panic(err)
+	}
+	l := NewLimiter()
+	l.Update(table, testSlack, t0)
+	l.Expect([]Source{{Name: "*", Carriers: 11, Whole: true}}, t0)
+	l.Heard(Told{Speaker: "hub", Source: "*", Covered: 11, Last: 1<<32 - 1, Uses: uses}, t0.Add(time.Second))
+	return l, names, uses
+}
+
+// BenchmarkTake measures what a request costs, with many at once.
+func BenchmarkTake(b *testing.B) {
+	l, names, _ := manyOrganisations(10_000)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		now := t0.Add(time.Second)
+		for i := 0; pb.Next(); i++ {
+			now = now.Add(time.Microsecond)
+			l.Take(names[i*7%len(names)], now)
+		}
+	})
+}
+
+// BenchmarkReport measures what is told and heard in one period, at 79 organisations of
+// which half have requests.
+func BenchmarkReport(b *testing.B) {
+	l, _, uses := manyOrganisations(79)
+	b.ReportAllocs()
+	for i := range b.N {
+		now := t0.Add(time.Duration(i+2) * reportEvery)
+		uses[i%len(uses)].Admitted = float64(i % 7)
+		l.Expect([]Source{{Name: "*", Carriers: 11, Whole: true}}, now)
+		l.Heard(Told{Speaker: "hub", Source: "*", Covered: 11, Last: 1<<32 - 1, Uses: uses}, now)
+		l.Uses(true, func(string) bool { return false }, now)
+	}
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -61,15 +61,19 @@
 	at    time.Time
 	// admitted are the own requests that were let through, asked all of them.
 	admitted, asked window
-	// told is what each source told last.
+	// told is what each speaker told last.
 	told map[string]use
 	// heard is the sum of what the sources tell that are heard now.
 	heard use
 	// missing is the part of the limit that is set aside for entries which are not heard:
 	// they may go on, and set the part of this one aside in turn.
 	missing float64
+	// setAside is what was taken off the level for them.
+	setAside float64
 	// self is the share of this entry in the limit if all ask for the same.
 	self float64
+	// settled is set once missing and self were worked out.
+	settled bool
 	// nextReturn is when the last refused caller was told to come back.
 	nextReturn time.Time
 	// refused counts the refused requests.
@@ -168,49 +172,58 @@
 	return max(minRetry, b.nextReturn.Sub(now))
 }
 
-// hear takes in what a source tells. It reports whether that is news.
-func (b *bucket) hear(source string, u use) bool {
+// hear takes in what a speaker tells. It reports whether that is news.
+func (b *bucket) hear(speaker string, u use) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.told[source] == u {
+	if b.told[speaker] == u {
 		return false
 	}
 	if u == (use{}) {
-		delete(b.told, source)
+		delete(b.told, speaker)
 		return true
 	}
 	if b.told == nil {
 		b.told = make(map[string]use)
 	}
-	b.told[source] = u
+	b.told[speaker] = u
 	return true
 }
 
 // settle sums up what the sources tell.
 func (b *bucket) settle(now time.Time, s *sources) {
 	missing, self := s.missing(now)
+	voices := s.voices(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if more := missing - b.missing; more > 0 {
-		// What was left for the latest requests of those that are not heard any more is
-		// not for the others.
-		b.level -= more * b.limit.Rate * unseenFor.Seconds()
+	if b.settled {
+		b.setAsideFor(missing)
 	}
-	b.heard, b.missing, b.self = use{}, missing, self
+	b.heard, b.missing, b.self, b.settled = use{}, missing, self, true
 	for name, u := range b.told {
-		switch src := s.byName[name]; {
-		case src == nil:
+		switch {
+		case s.speakers[name] == nil:
 			delete(b.told, name)
-		case src.fresh(now):
+		case voices[name]:
 			b.heard.admitted += u.admitted
 			b.heard.asked += u.asked
 		}
 	}
 }
 
-// uses returns the rates of the own requests, and those that the named sources told.
-func (b *bucket) uses(from func(source string) bool, now time.Time) (own, told use) {
+// setAsideFor takes off the level what is left in it for the latest requests of those that
+// are not heard any more: it is theirs. Once they are heard again it is given back.
+func (b *bucket) setAsideFor(missing float64) {
+	more := (missing - b.missing) * b.limit.Rate * unseenFor.Seconds()
+	more = math.Max(more, -b.setAside)
+	b.level -= more
+	b.setAside += more
+}
+
+// uses returns the rates of the own requests, and those that the speakers told that are
+// asked for.
+func (b *bucket) uses(from func(speaker string) bool, now time.Time) (own, told use) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	own.admitted = b.admitted.sum(now, slotLength, slotLength+rateOver) / rateOver.Seconds()
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -136,45 +136,55 @@
 	}
 }
 
-// Covered returns for how many carriers beside the own entry the named sources speak.
-func (l *Limiter) Covered(from func(source string) bool, now time.Time) int {
+// Covered returns of how many carriers beside the own entry the speakers tell that are asked
+// for.
+func (l *Limiter) Covered(from func(speaker string) bool, now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.sources.covered(from, now)
 }
 
-// Heard takes in what a source, which speaks for a number of carriers, tells of the
-// organisations whose hashes lie from first to last; one that it does not name it has no
-// requests of.
-func (l *Limiter) Heard(source string, covered int, first, last uint32, uses []Use, now time.Time) {
+// Told is what a speaker tells of the organisations whose hashes lie from First to Last; one
+// that it does not name it has no requests of.
+type Told struct {
+	// Speaker is the entry that tells, Source what it speaks for.
+	Speaker, Source string
+	// Covered is how many carriers it speaks for.
+	Covered int
+	// Idle is set if it has few requests, and so tells each half second only.
+	Idle        bool
+	First, Last uint32
+	Uses        []Use
+}
+
+// Heard takes in what a speaker tells.
+func (l *Limiter) Heard(t Told, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.sources.heard(source, covered, now) {
+	if !l.sources.heard(t, now) {
 		return
 	}
-	named := make(map[*bucket]use, len(uses))
-	for _, u := range uses {
+	named := make(map[*bucket]use, len(t.Uses))
+	for _, u := range t.Uses {
 		if b := l.byHash[u.Organisation]; b != nil {
 			l.activate(b)
 			named[b] = use{u.Admitted, u.Asked}
 		}
 	}
 	for b := range l.active {
-		if b.hash >= first && b.hash <= last && b.hear(source, named[b]) {
+		if b.hash >= t.First && b.hash <= t.Last && b.hear(t.Speaker, named[b]) {
 			b.settle(now, &l.sources)
 		}
 	}
 }
 
 // Uses returns what to tell of the organisations that have requests: of those that this
-// entry has itself if own is set, and of those that the named sources told of.
-func (l *Limiter) Uses(own bool, from func(source string) bool, now time.Time) []Use {
+// entry has itself if own is set, and of those that the speakers told of that are asked for.
+func (l *Limiter) Uses(own bool, from func(speaker string) bool, now time.Time) []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	fresh := func(name string) bool {
-		src := l.sources.byName[name]
-		return src != nil && src.fresh(now) && from(name)
-	}
+	voices := l.sources.voices(now)
+	fresh := func(speaker string) bool { return voices[speaker] && from(speaker) }
 	var out []Use
 	for b := range l.active {
 		mine, told := b.uses(fresh, now)
@@ -193,6 +203,22 @@
 	return out
 }
 
+// someRequests is from how many requests in a second on an entry is one that others have to
+// hear of at once.
+const someRequests = 2
+
+// InUse reports whether organisations have more than a stray request at this entry.
+func (l *Limiter) InUse(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asked := 0.0
+	for b := range l.active {
+		own, _ := b.uses(func(string) bool { return false }, now)
+		asked += own.asked
+	}
+	return asked >= someRequests
+}
+
 // Status is the limit of one organisation as this entry sees it, for metrics and dumps.
 type Status struct {
 	Organisation string  `json:"organisation"`
