--- /dev/null
+++ b/internal/inflight/uses_hub_test.go
@@ -0,0 +1,121 @@
+package inflight
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/quota"
+)
+
+// ledger is Limits that keep what is heard, and tell one request a second of an organisation.
+type ledger struct {
+	mu   sync.Mutex
+	told map[string]quota.Told
+	// changed receives a value for each report.
+	changed chan struct{}
+}
+
+func (l *ledger) Limits() bool { return true }
+
+func (l *ledger) Uses(own bool, from func(string) bool, _ time.Time) []quota.Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0.0
+	if own {
+		sum = 1
+	}
+	for speaker, t := range l.told {
+		if from(speaker) && len(t.Uses) > 0 {
+			sum += t.Uses[0].Admitted
+		}
+	}
+	return []quota.Use{{Organisation: 7, Admitted: sum, Asked: sum}}
+}
+
+func (l *ledger) Covered(from func(string) bool, _ time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for speaker, t := range l.told {
+		if from(speaker) {
+			n += t.Covered
+		}
+	}
+	return n
+}
+
+func (l *ledger) Heard(t quota.Told, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told[t.Speaker] = t
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (l *ledger) Expect(int, []quota.Source, time.Time) {}
+
+// Three entries of a fleet with hubs take each other for hubs, in a ring. What they tell must
+// not grow by going round: callers of all organisations were refused for four seconds after it
+// had.
+func TestSumsDoNotGoRound(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	exchanges := make(map[string]*Exchange)
+	ledgers := make(map[string]*ledger)
+	peers := make(map[string]Peer)
+	fleet := func(self string) func() Fleet {
+		return func() Fleet {
+			f := Fleet{Carries: true}
+			for i, id := range ids {
+				if id != self {
+					f.Peers = append(f.Peers, peers[id])
+				}
+				if id == self {
+					f.Hubs = []Peer{peers[ids[(i+1)%3]], peers[ids[(i+2)%3]], {ID: self}}
+				}
+			}
+			for i := range maxDirect {
+				f.Peers = append(f.Peers, Peer{ID: fmt.Sprint("elsewhere-", i), Domain: "e"})
+			}
+			return f
+		}
+	}
+	for _, id := range ids {
+		ledgers[id] = &ledger{told: make(map[string]quota.Told), changed: make(chan struct{}, 1)}
+		x, err := Listen(Options{
+			Address: "127.0.0.1:0", Entry: id, Fleet: fleet(id), Limits: ledgers[id],
+			Counts: func(balance.Counted) []Count { return nil }, Doubt: func() (rest, left time.Duration) { return 0, 0 },
+			Leaving: func() bool { return false }, Heard: func(string, *Report) {}, Stranger: func(netip.AddrPort) {},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchanges[id] = x
+		peers[id] = Peer{ID: id, Address: x.conn.LocalAddr().(*net.UDPAddr).AddrPort(), Domain: "d", Near: true, Carries: true}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for _, x := range exchanges {
+		go x.Run(ctx)
+	}
+	for rounds := 0; rounds < 60; {
+		for _, l := range ledgers {
+			if all := l.Uses(true, func(string) bool { return true }, t0); all[0].Admitted > 4*float64(len(ids)) {
+				t.Fatalf("%.0f requests a second are known, there are %d", all[0].Admitted, len(ids))
+			}
+		}
+		select {
+		case <-ledgers["a"].changed:
+			rounds++
+		case <-t.Context().Done():
+			t.Fatal("nothing is told")
+		}
+	}
+}
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -13,6 +13,7 @@
 	pkgPlatform = "./platform"
 	pkgPoison   = "./internal/poison"
 	pkgReports  = "./internal/inflight"
+	pkgQuota    = "./internal/quota"
 )
 
 var ablations = []ablation{
@@ -199,6 +200,16 @@
 		"if !now.Before(e.at) {", "if false {", pkgForward, "DeadlinePasses", nil},
 	{"reads of stalled bodies are interrupted", "internal/forward/carrier.go",
 		"defer cl.body.interrupt(ctx, w)()", "_ = cl.body.interrupt", pkgForward, "StalledUpload", nil},
+	{"entries' parts of a limit", "internal/quota/bucket.go",
+		"return math.Max(b.part(now)*whole, few) - unseen", "return whole - unseen", pkgQuota, "Surges", nil},
+	{"a few requests whatever the part", "internal/quota/bucket.go",
+		"few := math.Min(fewAtOnce, whole/plenty)", "few := 0.0", pkgQuota, "JustBelow", nil},
+	{"a part for entries that are not heard", "internal/quota/sources.go",
+		"silent += src.Weight - covered", "_ = covered", pkgQuota, "CutApart", nil},
+	{"what is left for the last requests of those", "internal/quota/bucket.go",
+		"b.level -= more\n", "", pkgQuota, "CutApart", nil},
+	{"keys that were taken away are not sent on", "internal/forward/limit.go",
+		"if fault != nil && fault.Status == http.StatusUnauthorized {", "if false {", pkgPlatform, "UnderARequest", nil},
 	{"the boot clock goes on", "internal/bootclock/clock.go",
 		"c.missed.Store(int64(missed))", "_ = missed", pkgForward, "Suspen", nil},
 }
