An entry that is alone has the whole limit; names of spending and refunding

Cause: with no peer left nothing was expected anew, and the part of the last ones that were not heard stayed set aside for ever (read in the code, shown by a test: half of the limit beside none). Change: sources are also set when there are no peers. spendLimit, refundLimit; the age of news has a name among the constants.

--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -268,11 +268,11 @@
 		}
 		cl.body.src = http.MaxBytesReader(w, r.Body, limit)
 	}
-	if f := c.limited(cl); f != nil {
+	if f := c.spendLimit(cl); f != nil {
 		c.refuse(w, out, f)
 		return
 	}
-	defer c.unlimited(cl)
+	defer c.refundLimit(cl)
 	ctx := r.Context()
 	if ask.Route != nil && !ask.Safe {
 		// An unsafe request that is under way goes on without its caller, so that
--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -11,9 +11,9 @@
 // reasonOverLimit means that the organisation has as many requests as it may.
 const reasonOverLimit = "over-limit"
 
-// limited takes a request out of its organisation's limit, or returns the refusal. A request
-// that is refused later or that no upstream runs is given back by unlimited.
-func (c *Carrier) limited(cl *call) *refusal {
+// spendLimit takes a request out of its organisation's limit, or returns the refusal. A request
+// that is refused later or that no upstream runs is given back by refundLimit.
+func (c *Carrier) spendLimit(cl *call) *refusal {
 	if cl.Organisation == nil {
 		return nil
 	}
@@ -25,8 +25,8 @@
 	return &refusal{status: http.StatusTooManyRequests, reason: reasonOverLimit, verdict: verdict.NotRun, retryAfter: retryAfter}
 }
 
-// unlimited gives back what a request was let through for if it has not run.
-func (c *Carrier) unlimited(cl *call) {
+// refundLimit gives back what a request was let through for if it has not run.
+func (c *Carrier) refundLimit(cl *call) {
 	if cl.paid {
 		c.limits.Return(cl.Organisation.Name, c.now())
 	}
@@ -66,7 +66,7 @@
 	if fault != nil || ask.Route == nil {
 		return nil
 	}
-	c.unlimited(cl)
+	c.refundLimit(cl)
 	wasPaid := cl.paid
 	cl.paid, cl.Organisation = false, ask.Organisation
 	if wasPaid {
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -198,6 +198,7 @@
 	fleet := x.opt.Fleet()
 	switch {
 	case len(fleet.Peers) == 0:
+		x.useToAll(fleet, now)
 	case len(fleet.Peers) <= maxDirect:
 		x.tell(fleet.Peers, Report{Scope: ScopeOwn}, balance.Counted{Own: true})
 		x.tellClaims(fleet.Peers, false)
--- a/internal/inflight/uses_hub_test.go
+++ b/internal/inflight/uses_hub_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
 )
 
@@ -119,3 +121,37 @@
 		}
 	}
 }
+
+// An entry that was cut off from all others, and whose registrations then lapsed, is alone:
+// nothing of the limits is set aside for anybody any more.
+func TestAloneHasTheWholeLimit(t *testing.T) {
+	peers := []Peer{{ID: "b", Carries: true}}
+	x := &Exchange{hubs: newHubs("a"), presence: newPresence()}
+	limits := quota.NewLimiter()
+	table, err := model.NewOrganisations([]*model.Organisation{{Name: "o", Limit: model.Limit{Rate: 100, Burst: 100}}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits.Update(table, 0, t0)
+	x.opt = Options{
+		Entry: "a", Limits: limits, Fleet: func() Fleet { return Fleet{Peers: peers, Carries: true} }, Busy: func() bool { return false },
+		Counts: func(balance.Counted) []Count { return nil }, Doubt: func() (rest, left time.Duration) { return 0, 0 },
+		Leaving: func() bool { return false }, Claims: func(int, bool) []poison.Claim { return nil },
+	}
+	if x.conn, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	defer x.conn.Close()
+	missing := func(now time.Time) float64 {
+		x.send(now)
+		limits.Take("o", now)
+		return limits.Status(1, now)[0].Missing
+	}
+	if got := missing(t0.Add(time.Second)); got != 0.5 {
+		t.Errorf("beside one that is not heard %v of the limit is set aside", got)
+	}
+	peers = nil
+	if got := missing(t0.Add(2 * time.Second)); got != 0 {
+		t.Errorf("alone %v of the limit is set aside", got)
+	}
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -17,6 +17,8 @@
 	// those that were asked for.
 	rateOver  = 200 * time.Millisecond
 	askedOver = time.Second
+	// newsAge is how old what other entries tell is on the average.
+	newsAge = 300 * time.Millisecond
 	// extraShare is the part of the slack that is always there to be used, as if the burst
 	// were larger. The rest is for requests that the entries do not know of each other.
 	extraShare = 0.4
@@ -35,7 +37,7 @@
 	maxRetry = 5 * time.Second
 )
 
-// use is the use of a limit by one source, in requests per second.
+// use is the use of a limit in requests per second: what is admitted, and what is asked for.
 type use struct {
 	admitted, asked float64
 }
@@ -106,9 +108,8 @@
 // each asks for. The own figure is as old as those of the others, so that in a surge that
 // all see at once the parts are no more than the whole.
 func (b *bucket) part(now time.Time) float64 {
-	const told = 300 * time.Millisecond
 	even := evenShare * b.limit.Rate
-	own := b.asked.sum(now, told, told+askedOver) + even*b.self
+	own := b.asked.sum(now, newsAge, newsAge+askedOver) + even*b.self
 	return own / (own + b.heard.asked + even*(1-b.self))
 }
 
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -201,7 +201,7 @@
 	{"reads of stalled bodies are interrupted", "internal/forward/carrier.go",
 		"defer cl.body.interrupt(ctx, w)()", "_ = cl.body.interrupt", pkgForward, "StalledUpload", nil},
 	{"entries' parts of a limit", "internal/quota/bucket.go",
-		"return math.Max(b.part(now)*whole, few) - unseen", "return whole - unseen", pkgQuota, "Surges", nil},
+		"return math.Max(b.part(now)*whole, few) - unseen", "return math.Max(whole, few) - unseen", pkgQuota, "Surges", nil},
 	{"a few requests whatever the part", "internal/quota/bucket.go",
 		"few := math.Min(fewAtOnce, whole/plenty)", "few := 0.0", pkgQuota, "JustBelow", nil},
 	{"a part for entries that are not heard", "internal/quota/sources.go",
