--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
 GO ?= go
+# A package whose tests play hundreds of orders of events takes some minutes under the race
+# detector, and more beside other work.
+TEST_TIMEOUT ?= 40m
 export GOTOOLCHAIN = local
 
 .PHONY: build run up test known-red lint generate overhead slopes measure ablate play
@@ -36,8 +39,8 @@
 # Every test runs twice in random order. The race detector gets one processor:
 # with several, that of Go 1.26 crashes in tests under virtual time.
 test: lint build known-red
-	$(GO) test -race -cpu=1 -shuffle=on -count=1 $(ONLY_GREEN) ./...
-	$(GO) test -shuffle=on -count=1 $(ONLY_GREEN) ./...
+	$(GO) test -race -cpu=1 -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT) $(ONLY_GREEN) ./...
+	$(GO) test -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT) $(ONLY_GREEN) ./...
 
 # Needs buf, protoc-gen-go and protoc-gen-go-drpc.
 generate:
