Observability: count unknown fields of targets' answers, and requests by upstream

Nothing told that targets had begun to name a limit: a field that a node does not decode is passed on without a word.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -92,6 +92,7 @@
 	stop, cancel := process.Signals(ctx)
 	defer cancel()
 	clock := bootclock.NewClock()
+	unknown := new(platform.UnknownFields)
 	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, s.Peer, time.Now())
 	self.LinkMbps, self.Cores = s.LinkMbps, s.Cores
 	n := node.New(view.Options{
@@ -99,7 +100,10 @@
 		Regions: s.Regions,
 		Rejoin:  rejoin,
 		Policy:  policy(s.Bounds),
-	}, forward.Options{Self: s.ID, Domain: s.Domain, Room: room, Now: clock.Now, Check: clock.Check, Protocol: platform.Protocol{}, DialTimeout: dialTimeout})
+	}, forward.Options{
+		Self: s.ID, Domain: s.Domain, Room: room, Now: clock.Now, Check: clock.Check,
+		Protocol: platform.Protocol{Unknown: unknown}, DialTimeout: dialTimeout,
+	})
 
 	store := platform.NewStore(s.Store)
 	dialer := rpc.NewDialer(nil, nil)
@@ -119,6 +123,7 @@
 	}
 	named := func() []model.Member { return n.Named(exchange.Absent(clock.Now())) }
 	metrics.Publish("store", func() any { return store.Calls() })
+	metrics.Publish("unknown_fields", func() any { return unknown.Counts() })
 	metrics.Publish("feed", func() any { return feed.Status() })
 	dump := func() any { return stateDump{n.Dump(), feed.Status()} }
 	if err := listen(n, named, dump, s); err != nil {
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -74,6 +74,7 @@
 		best.heardAt = now
 	}
 	best.inFlight++
+	best.sent++
 	g.inFlight[best.Region]++
 	return c, nil
 }
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -59,6 +59,8 @@
 type member struct {
 	model.Upstream
 	inFlight int
+	// sent counts the own requests.
+	sent int64
 	// others is the load by other entries at the last report, and reported when
 	// that was.
 	others   float64
@@ -264,6 +266,7 @@
 		}
 		if m := g.choose(candidates, now, rnd); m != nil {
 			m.inFlight++
+			m.sent++
 			g.inFlight[region]++
 			return Choice{Upstream: m.Upstream, Picked: now, to: m}, nil
 		}
--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -63,6 +63,7 @@
 type Status struct {
 	model.Upstream
 	InFlight int           `json:"in_flight"`
+	Sent     int64         `json:"sent"`
 	Estimate float64       `json:"estimate"`
 	Latency  time.Duration `json:"latency_ns"`
 	Failures int           `json:"failures"`
@@ -76,7 +77,7 @@
 	defer g.mu.Unlock()
 	var out []Status
 	for _, m := range g.byID {
-		out = append(out, Status{m.Upstream, m.inFlight, g.estimate(m, now), m.latency, m.failures, m.ejected(now), g.leaves(m, now)})
+		out = append(out, Status{m.Upstream, m.inFlight, m.sent, g.estimate(m, now), m.latency, m.failures, m.ejected(now), g.leaves(m, now)})
 	}
 	return out
 }
