Keep to the limit that an upstream names in its answers, over all entries together

What callers saw: an upstream in need named the requests a second that it takes from all nodes (6.2) and got as many as before, 48 in 4 s. Cause: the field was not read, and nothing in the product bounds what all entries together send to one warm upstream.

The limit is a register that entries merge (package ratelimit): learnt from any answer that is the upstream's own, refused ones too, told to others at once and again; answers that overtake each other are told apart by when their requests were sent. Up to 16 entries of the upstream's region, the same at all, share a token bucket: each takes its own requests off at once and those of the others as they tell of them, within some milliseconds. The part of one that is silent is left to it, so that both sides of a cut together keep to the limit. A limit belongs to one life of the upstream, is never below one request in four seconds, so that its end is noticed, and is not one of an entry that is about to leave.

Ruled out: senders with even parts (a part below a request a second wastes a quarter of the limit or needs a burst that breaks the bound); all entries as senders (each request told to all).

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -92,7 +92,7 @@
 	stop, cancel := process.Signals(ctx)
 	defer cancel()
 	clock := bootclock.NewClock()
-	unknown := new(platform.UnknownFields)
+	fields := new(platform.FieldCounts)
 	self := node.Self(s.ID, s.Region, s.Domain, s.Entry, s.Peer, time.Now())
 	self.LinkMbps, self.Cores = s.LinkMbps, s.Cores
 	n := node.New(view.Options{
@@ -102,7 +102,7 @@
 		Policy:  policy(s.Bounds),
 	}, forward.Options{
 		Self: s.ID, Domain: s.Domain, Room: room, Now: clock.Now, Check: clock.Check,
-		Protocol: platform.Protocol{Unknown: unknown}, DialTimeout: dialTimeout,
+		Protocol: platform.Protocol{Fields: fields}, DialTimeout: dialTimeout,
 	})
 
 	store := platform.NewStore(s.Store)
@@ -123,7 +123,7 @@
 	}
 	named := func() []model.Member { return n.Named(exchange.Absent(clock.Now())) }
 	metrics.Publish("store", func() any { return store.Calls() })
-	metrics.Publish("unknown_fields", func() any { return unknown.Counts() })
+	metrics.Publish("answer_fields", func() any { return fields.Status() })
 	metrics.Publish("feed", func() any { return feed.Status() })
 	dump := func() any { return stateDump{n.Dump(), feed.Status()} }
 	if err := listen(n, named, dump, s); err != nil {
@@ -224,6 +224,7 @@
 func debugHandler(n *node.Node, dump func() any) http.Handler {
 	metrics.Publish("entry", func() any { return n.Entry.Metrics() })
 	metrics.Publish("limits", func() any { return n.Limits() })
+	metrics.Publish("upstream_limits", func() any { return n.Rates() })
 	metrics.Publish("node", func() any { return n.Status() })
 	r := chi.NewRouter()
 	process.Debug(r, n.Ready, dump)
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -75,6 +75,7 @@
 	}
 	best.inFlight++
 	best.sent++
+	g.spendRate(best, now)
 	g.inFlight[best.Region]++
 	return c, nil
 }
@@ -95,15 +96,20 @@
 	return ranked[:min(replicas, len(ranked))]
 }
 
-// settledFirst puts the upstreams that are cold after those that are not. One that has
+// settledFirst puts the upstreams that are cold, or whose limits leave no room, after those
+// that are neither. One that has
 // just joined knows no object and is slow, and the upstreams after it still have at hand
 // what it would take over. Placed first, upstreams that join have requests refused while most
 // slots are free, since most entries may not send to cold ones.
 func (g *Group) settledFirst(now time.Time, cs []candidate) []candidate {
-	slices.SortStableFunc(cs, func(a, b candidate) int { return compareBool(g.cold(a.m, now), g.cold(b.m, now)) })
+	slices.SortStableFunc(cs, func(a, b candidate) int { return compareBool(g.unsettled(a.m, now), g.unsettled(b.m, now)) })
 	return cs
 }
 
+func (g *Group) unsettled(m *member, now time.Time) bool {
+	return g.cold(m, now) || !m.withinRate(now)
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -55,6 +55,12 @@
 // upstream: those of its failure domain come before those of its region and these
 // before others, each in the order that the upstream's id gives them.
 func (g *Group) sendsCold(m *member, senders int) bool {
+	return slices.ContainsFunc(g.nearest(m)[:senders], func(e model.Member) bool { return e.ID == g.self })
+}
+
+// nearest returns the entries in an order that is the same at all of them: those of the
+// upstream's failure domain, those of its region, and the others.
+func (g *Group) nearest(m *member) []model.Member {
 	distance := func(e model.Member) int {
 		switch {
 		case e.Domain == m.Domain:
@@ -71,5 +77,5 @@
 			cmp.Compare(mix(m.hash^xxhash.Sum64String(a.ID)), mix(m.hash^xxhash.Sum64String(b.ID))),
 		)
 	})
-	return slices.ContainsFunc(order[:senders], func(e model.Member) bool { return e.ID == g.self })
+	return order
 }
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -10,11 +10,13 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
 )
 
 const (
@@ -106,6 +108,17 @@
 	// sender is whether this entry is one of those that send to the upstream while it is
 	// cold; nil until it was worked out for the present entries.
 	sender *bool
+	// rate is what is known of the upstream's own limit, bucket keeps to it; nil if there is
+	// none.
+	rate   ratelimit.Register
+	bucket *ratelimit.Bucket
+	// rateUntold is set while others have not been told of what has changed, limitUntold if that
+	// is the limit. The last request was counted at spentAt, and all are told of the limit until
+	// limitNewsUntil.
+	rateUntold     bool
+	limitUntold    bool
+	spentAt        time.Time
+	limitNewsUntil time.Time
 }
 
 // Group balances one service. It is safe for concurrent use.
@@ -139,6 +152,14 @@
 	// heard is when each peer last told of its requests.
 	heard map[string]time.Time
 
+	// limited counts the upstreams with a limit, limitNewsUntil is until when all others are
+	// told of one or of its end, and notify is called when some are to hear at once.
+	limited        atomic.Int32
+	limitNewsUntil time.Time
+	notify         func()
+	// retired is set once the entry is about to leave.
+	retired bool
+
 	scratch scratch
 }
 
@@ -187,6 +208,7 @@
 		if m != nil && u.RestartOf(&m.Upstream) {
 			m.restarted = true
 			restarted = append(restarted, m.Address)
+			g.dropLimit(m)
 			m = nil
 		}
 		if m == nil {
@@ -204,9 +226,11 @@
 	for id, m := range g.byID {
 		if !seen[id] {
 			m.gone = true
+			g.dropLimit(m)
 			g.forget(id, m)
 		}
 	}
+	g.setSenders(now)
 	g.weigh(now, in.Home, demandByRegion(in.Entries))
 	return restarted
 }
@@ -267,6 +291,7 @@
 		if m := g.choose(candidates, now, rnd); m != nil {
 			m.inFlight++
 			m.sent++
+			g.spendRate(m, now)
 			g.inFlight[region]++
 			return Choice{Upstream: m.Upstream, Picked: now, to: m}, nil
 		}
--- a/internal/balance/late.go
+++ b/internal/balance/late.go
@@ -39,13 +39,20 @@
 // full is the error when no candidate may take a request. It says when the first
 // of them should have a slot.
 func (g *Group) full(now time.Time, req ObjectRequest, ranked []candidate) error {
-	first, least := ranked[0].m, g.wait(ranked[0].m, now, req)
-	for _, c := range ranked[1:] {
-		if w := g.wait(c.m, now, req); w < least {
+	var first *member
+	var least time.Duration
+	for _, c := range ranked {
+		if !c.m.withinRate(now) {
+			continue
+		}
+		if w := g.wait(c.m, now, req); first == nil || w < least {
 			first, least = c.m, w
 		}
 	}
-	if least <= 0 {
+	switch {
+	case first == nil:
+		return g.limitError(now, ranked)
+	case least <= 0:
 		return ErrNoSlot
 	}
 	return &LateError{Upstream: first.ID, Ahead: g.estimate(first, now), RetryAfter: least}
@@ -79,7 +86,7 @@
 
 // hasRoom reports whether one more request may join those at an upstream.
 func (g *Group) hasRoom(m *member, now time.Time) bool {
-	if now.Before(m.shedUntil) || g.cold(m, now) && !g.takesCold(m, now) {
+	if now.Before(m.shedUntil) || !m.withinRate(now) || g.cold(m, now) && !g.takesCold(m, now) {
 		return false
 	}
 	return g.estimate(m, now)+1 <= g.capacity(m)
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -29,7 +29,7 @@
 }
 
 func (g *Group) hasSlot(m *member, now time.Time) bool {
-	if now.Before(m.shedUntil) {
+	if now.Before(m.shedUntil) || !m.withinRate(now) {
 		return false
 	}
 	return g.estimate(m, now)+1 <= g.slots(m, now)+0.5
--- /dev/null
+++ b/internal/balance/ratelimit_test.go
@@ -0,0 +1,188 @@
+package balance
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
+)
+
+// limitSeeds is how many seeds each play of limits has; with more than one, more rates are played.
+var limitSeeds = flag.Uint64("limit-seeds", 1, "how many seeds each play of upstreams' limits has")
+
+const (
+	// limitWindow is the length of the windows in which a limit binds, limitSettle after what
+	// time from its first naming.
+	limitWindow = 4 * time.Second
+	limitSettle = time.Second
+	// limitOver and limitSlack are what share of the limit, and how many requests, may come
+	// beyond it; limitUse is what part of it is used at the least where callers ask for more.
+	limitOver  = 1.1
+	limitSlack = 3.0
+	limitUse   = 0.9
+	// limitFrom and limitTo are when the upstream names its limit.
+	limitFrom = 5 * time.Second
+	limitTo   = 25 * time.Second
+	// limitEnd is the end of a play, limitPoll the time between looks at the entries.
+	limitEnd  = 28 * time.Second
+	limitPoll = 50 * time.Millisecond
+)
+
+// limitedFrom has the first upstream name a limit for a time.
+func limitedFrom(perSecond float64) func(string, time.Duration) float64 {
+	return func(upstream string, at time.Duration) float64 {
+		if upstream == "u0" && at >= limitFrom && at < limitTo {
+			return perSecond
+		}
+		return ratelimit.Unlimited
+	}
+}
+
+// constant is a demand that stays as it is.
+func constant(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// withinLimit checks that the first upstream got no more than its limit allows.
+func withinLimit(t *testing.T, f *limitFleet, seed uint64, perSecond float64) {
+	t.Helper()
+	got, at := f.most("u0", limitWindow, limitFrom+limitSettle, limitTo)
+	if most := limitOver*perSecond*limitWindow.Seconds() + limitSlack; float64(got) > most {
+		t.Errorf("seed %d: %d requests in %v before %v at a limit of %v a second; allowed: %.1f", seed, got, limitWindow, at, perSecond, most)
+	}
+}
+
+// eachLimit plays fleets of several sizes at several limits, which each are a part of what the
+// upstream would get.
+func eachLimit(t *testing.T, play func(f *limitFleet), check func(t *testing.T, f *limitFleet, u *usage, seed uint64, perSecond float64)) {
+	rates := []float64{12}
+	if *limitSeeds > 1 {
+		rates = []float64{4, 12, 60}
+	}
+	for _, size := range []struct{ entries, upstreams int }{{11, 12}, {18, 18}, {48, 24}} {
+		for _, perUpstream := range rates {
+			for _, part := range []float64{0.2, 0.5} {
+				perSecond := part * perUpstream
+				t.Run(fmt.Sprintf("%d entries, %v of %v a second", size.entries, perSecond, perUpstream), func(t *testing.T) {
+					t.Parallel()
+					u := &usage{}
+					for seed := range *limitSeeds {
+						f := newLimitFleet(seed, size.entries, size.upstreams)
+						f.rate = constant(perUpstream * float64(size.upstreams))
+						f.limitOf = limitedFrom(perSecond)
+						play(f)
+						f.run(limitEnd)
+						check(t, f, u, seed, perSecond)
+					}
+					if u.got < limitUse*u.whole {
+						t.Errorf("%.3f of a limit of %v a second was used; allowed: at least %v", u.got/u.whole, perSecond, limitUse)
+					}
+				})
+			}
+		}
+	}
+}
+
+// usage sums up over the seeds of a play what part of a limit was used.
+type usage struct{ got, whole float64 }
+
+func (u *usage) add(f *limitFleet, perSecond float64) {
+	u.got += float64(f.between("u0", limitFrom+limitSettle, limitTo))
+	u.whole += perSecond * (limitTo - limitFrom - limitSettle).Seconds()
+}
+
+func TestUpstreamsOwnLimitIsKeptAndUsed(t *testing.T) {
+	eachLimit(t, func(*limitFleet) {}, func(t *testing.T, f *limitFleet, u *usage, seed uint64, perSecond float64) {
+		withinLimit(t, f, seed, perSecond)
+		u.add(f, perSecond)
+		if f.refused > 0 {
+			t.Errorf("seed %d: %d of %d requests were refused though other upstreams had room", seed, f.refused, f.asked)
+		}
+	})
+}
+
+// TestUpstreamsLimitEndsEverywhere checks that all entries use an upstream as before within a
+// second of the first request that reaches it after the end of its limit.
+func TestUpstreamsLimitEndsEverywhere(t *testing.T) {
+	eachLimit(t, func(f *limitFleet) {
+		for at := limitTo; at < limitEnd; at += limitPoll {
+			f.at(at, func() {
+				for _, e := range f.entries {
+					if e.group.limited.Load() != 0 {
+						f.lastLimited = f.since()
+					}
+				}
+			})
+		}
+	}, func(t *testing.T, f *limitFleet, _ *usage, seed uint64, perSecond float64) {
+		first := f.firstAfter("u0", limitTo)
+		if late := f.lastLimited - first; late >= limitSettle {
+			t.Errorf("seed %d: an entry keeps to a limit of %v a second %v after the first request since its end", seed, perSecond, late)
+		}
+	})
+}
+
+// faults are troubles of the entries while an upstream names its limit. None of them loses
+// enough of the demand for less than half of the limit to be used.
+var faults = map[string]func(f *limitFleet){
+	"entries die": func(f *limitFleet) {
+		for i := range len(f.entries) / 3 {
+			f.at(limitFrom+time.Duration(3+i)*time.Second/2, func() { f.kill(f.entries[3*i]) })
+		}
+	},
+	"entries are restarted one after the other": func(f *limitFleet) {
+		for i, e := range f.entries {
+			at := limitFrom + 2*time.Second + time.Duration(i)*17*time.Second/time.Duration(len(f.entries))
+			f.at(at, func() { f.kill(e) })
+			f.at(at+400*time.Millisecond, func() { f.restart(e) })
+		}
+	},
+	"half of the entries are restarted at once": func(f *limitFleet) {
+		for _, e := range f.entries[:len(f.entries)/2] {
+			f.at(limitFrom+5*time.Second, func() { f.kill(e) })
+			f.at(limitFrom+6*time.Second, func() { f.restart(e) })
+		}
+	},
+	"entries stand still": func(f *limitFleet) {
+		for i := range 9 {
+			e := f.entries[f.rnd.IntN(len(f.entries))]
+			f.at(limitFrom+time.Duration(2+2*i)*time.Second, func() { f.freeze(e, time.Duration(200+f.rnd.IntN(3000))*time.Millisecond) })
+		}
+	},
+	"the fleet is cut in two": func(f *limitFleet) {
+		for i, e := range f.entries {
+			if f.rnd.IntN(2) == 0 || i == 0 {
+				f.at(limitFrom+6*time.Second, func() { e.island = 1 })
+				f.at(limitFrom+12*time.Second, func() { e.island = 0 })
+			}
+		}
+	},
+	"all at once": func(f *limitFleet) {
+		for i, e := range f.entries {
+			switch f.rnd.IntN(5) {
+			case 0:
+				f.at(limitFrom+time.Duration(i%7)*time.Second, func() { f.kill(e) })
+				f.at(limitFrom+time.Duration(i%7)*time.Second+time.Duration(f.rnd.IntN(6000))*time.Millisecond, func() { f.restart(e) })
+			case 1:
+				f.at(limitFrom+time.Duration(2+i%9)*time.Second, func() { f.freeze(e, time.Duration(100+f.rnd.IntN(2000))*time.Millisecond) })
+			case 2:
+				f.at(limitFrom+7*time.Second, func() { e.island = 1 })
+				f.at(limitFrom+11*time.Second, func() { e.island = 0 })
+			}
+		}
+	},
+}
+
+func TestUpstreamsOwnLimitIsKeptBesideFaults(t *testing.T) {
+	for _, name := range slices.Sorted(maps.Keys(faults)) {
+		t.Run(name, func(t *testing.T) {
+			eachLimit(t, faults[name], func(t *testing.T, f *limitFleet, _ *usage, seed uint64, perSecond float64) {
+				withinLimit(t, f, seed, perSecond)
+			})
+		})
+	}
+}
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -103,6 +103,8 @@
 	poison    *poison.Tracker
 	limits    *quota.Limiter
 	deadlines *deadlines
+	// rateNews has a value when other entries are to hear of the limits of upstreams at once.
+	rateNews chan struct{}
 }
 
 // lane is the state of one service.
@@ -129,7 +131,7 @@
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self), limits: quota.NewLimiter(), deadlines: newDeadlines()}
+	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self), limits: quota.NewLimiter(), deadlines: newDeadlines(), rateNews: make(chan struct{}, 1)}
 	if opt.TLS != nil {
 		c.scheme = "https"
 	}
@@ -149,7 +151,7 @@
 		l := c.lane(name)
 		restarted := l.group.Update(balance.Input{
 			Service: svc, Draining: s.Draining, Owned: c.owned(s, svc),
-			Self: c.opt.Self, Home: s.Region, Domain: c.opt.Domain, Entries: s.Carriers,
+			Self: c.opt.Self, Home: s.Region, Domain: c.opt.Domain, Entries: entriesOf(s),
 		}, now)
 		c.forget(restarted)
 		if svc.Routed {
@@ -161,6 +163,14 @@
 	c.snap.Store(s)
 }
 
+// entriesOf returns the entries that carry requests to the upstreams.
+func entriesOf(s *model.Snapshot) []model.Member {
+	if s.Carriers != nil {
+		return s.Carriers
+	}
+	return s.HomeEntries()
+}
+
 // owned returns the upstreams of a service that this entry uses first. Requests of routes
 // go by their objects instead.
 func (c *Carrier) owned(s *model.Snapshot, svc *model.Service) map[string]bool {
@@ -209,6 +219,7 @@
 	defer c.mu.Unlock()
 	if l = c.lanes[service]; l == nil {
 		l = &lane{group: balance.NewGroup(), budget: balance.NewBudget(retryBurst), sheds: balance.NewBudget(shedBurst), shift: shift.NewMeter()}
+		l.group.OnRateNews(c.notifyRates)
 		c.lanes[service] = l
 	}
 	return l
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
@@ -69,6 +70,8 @@
 	// Load is the number of requests at the upstream, Waiting how many of them
 	// wait; -1 if the answer does not say.
 	Load, Waiting int
+	// Rate is the limit that the upstream names, or that it names none.
+	Rate balance.Rate
 	// Draining is set if the upstream wants no new work.
 	Draining bool
 }
--- a/internal/forward/slot.go
+++ b/internal/forward/slot.go
@@ -66,9 +66,12 @@
 func takeForObject(now time.Time, cl *call, l *lane, region string) (balance.Choice, *verdict.Error) {
 	choice, err := l.group.PickObject(now, cl.objectRequest())
 	var late *balance.LateError
+	var limit *balance.LimitError
 	switch {
 	case err == nil:
 		return choice, nil
+	case errors.As(err, &limit):
+		return balance.Choice{}, verdict.New(verdict.NotRun, reasonUpstreamLimit, err).After(limit.RetryAfter)
 	case errors.As(err, &late):
 		return balance.Choice{}, verdict.New(verdict.NotRun, reasonLate, err).After(late.RetryAfter)
 	}
@@ -81,6 +84,8 @@
 	reasonNoSlot     = "no-slot"
 	// reasonLate means that the answer would come too late now.
 	reasonLate = "would-be-late"
+	// reasonUpstreamLimit means that the upstreams take no more requests a second.
+	reasonUpstreamLimit = "upstream-limit"
 )
 
 func reasonOf(err error) string {
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -51,6 +51,8 @@
 	Claims func(n int, relay bool) []poison.Claim
 	// Limits has the use of organisations' limits; nil means that none is told.
 	Limits Limits
+	// Rates has the limits that upstreams name; nil means that none is told.
+	Rates Rates
 	// Leaving reports whether the own entry stops.
 	Leaving func() bool
 	// Now is the clock; nil means time.Now.
@@ -83,6 +85,12 @@
 	relays bool
 	// weight is that of the own entry in the limits.
 	weight int
+	// rateListeners are told of the limits of upstreams, changesTold is when they last were at
+	// once.
+	rateListeners []Peer
+	changesTold   time.Time
+	// started has the peers that were first heard in a new life and know no limits yet.
+	started chan Peer
 
 	mu       sync.Mutex
 	hubs     *hubs
@@ -90,6 +98,8 @@
 	// absent are the hashes of the entries that the hub told to be absent at absentAt.
 	absent   []uint32
 	absentAt time.Time
+	// lives are the incarnations in which the peers were heard last.
+	lives map[string]uint64
 }
 
 // Listen opens the socket.
@@ -111,7 +121,7 @@
 	if opt.Busy == nil {
 		opt.Busy = func() bool { return true }
 	}
-	return &Exchange{opt: opt, conn: conn, hubs: newHubs(opt.Entry), presence: newPresence()}, nil
+	return &Exchange{opt: opt, conn: conn, hubs: newHubs(opt.Entry), presence: newPresence(), lives: make(map[string]uint64), started: make(chan Peer, maxStarted)}, nil
 }
 
 // Absent returns the ids of the entries that stop or are silent. In a fleet with hubs an
@@ -152,8 +162,17 @@
 	period := nearPeriod
 	tick := time.NewTicker(period)
 	defer tick.Stop()
+	var urgent <-chan struct{}
+	if x.opt.Rates != nil {
+		urgent = x.opt.Rates.UrgentRates()
+	}
 	for {
 		select {
+		case <-urgent:
+			x.urgentRates(x.opt.Now())
+			time.Sleep(urgentGap)
+		case p := <-x.started:
+			x.tellStarted(p)
 		case <-tick.C:
 			now := x.opt.Now()
 			x.send(now)
@@ -202,6 +221,7 @@
 	case len(fleet.Peers) <= maxDirect:
 		x.tell(fleet.Peers, Report{Scope: ScopeOwn}, balance.Counted{Own: true})
 		x.tellClaims(fleet.Peers, false)
+		x.periodicRates(fleet, fleet.Peers)
 		x.useToAll(fleet, now)
 	default:
 		x.sendByHubs(fleet, now)
@@ -240,6 +260,7 @@
 		x.toldIdle = now
 		x.tell(idle, toReporters, balance.Counted{})
 	}
+	x.periodicRates(fleet, listenersByHubs(x.opt.Entry, hub, busy, idle, remote))
 	if !isHub && len(busy)+len(idle) == 0 {
 		x.tellClaims([]Peer{hub}, false)
 	}
@@ -351,6 +372,13 @@
 			klog.V(1).InfoS("report refused: not from its entry's address", "entry", p.ID, "address", p.Address, "from", from)
 			return
 		}
+		x.noteLife(p, r.Incarnation)
+		if r.HasRates {
+			if x.opt.Rates != nil {
+				x.opt.Rates.HeardRates(r.Entry, r.Incarnation, r.Rates)
+			}
+			return
+		}
 		if r.HasUses {
 			x.takeUses(r, p, fleet, now)
 			return
--- /dev/null
+++ b/internal/inflight/rates.go
@@ -0,0 +1,186 @@
+package inflight
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
+)
+
+// This file has what entries tell each other of the limits that upstreams name (package
+// ratelimit), in reports of their own. The senders of an upstream tell each other at once of
+// their requests; what the limits are goes the ways of the reports of requests under way.
+
+const (
+	// maxRates bounds the upstreams of one report, so that it fits a datagram; one takes up to
+	// 16 bytes.
+	maxRates = 75
+	// rateUnit is the part of a request per second that is told, and maxRateUnits bounds what
+	// is believed of a limit.
+	rateUnit     = 0.001
+	maxRateUnits = 1 << 50
+	// ratesPeriods is after how many near periods senders tell each other that they are there,
+	// and allRatesPeriods after how many all limits are told.
+	ratesPeriods    = 2
+	allRatesPeriods = 10
+	// urgentGap is the least time between two urgent reports.
+	urgentGap = 5 * time.Millisecond
+	// maxStarted bounds the peers that have started and are to be told.
+	maxStarted = 64
+	// changesGap is the least time between two urgent reports of limits that have changed.
+	changesGap = 50 * time.Millisecond
+)
+
+// Rates is what an Exchange tells of the limits of upstreams, and where it brings what it is
+// told.
+type Rates interface {
+	// UrgentRates has a value when others are to hear at once.
+	UrgentRates() <-chan struct{}
+	// RateNews returns what to tell.
+	RateNews(scope balance.NewsScope) []balance.RateNews
+	// RateSenders returns the ids of the entries that share a limit with this one.
+	RateSenders() map[string]bool
+	// HeardRates takes in what a peer told in one of its lives.
+	HeardRates(peer string, life uint64, told []balance.RateNews)
+}
+
+// appendRates encodes a limit as its units and one, so that 0 stands for none.
+func appendRates(b []byte, rates []balance.RateNews) []byte {
+	for _, n := range rates[:min(len(rates), maxRates)] {
+		units := uint64(0)
+		if n.PerSecond < ratelimit.Unlimited {
+			units = 1 + uint64(math.Round(n.PerSecond/rateUnit))
+		}
+		b = protowire.AppendFixed32(b, n.Upstream)
+		b = protowire.AppendVarint(b, units)
+		b = protowire.AppendVarint(b, uint64(n.Version))
+		b = protowire.AppendVarint(b, uint64(n.Sent))
+	}
+	return b
+}
+
+func decodeRates(b []byte) ([]balance.RateNews, error) {
+	var out []balance.RateNews
+	for len(b) > 0 {
+		upstream, n := protowire.ConsumeFixed32(b)
+		if n < 0 {
+			return nil, errMalformed
+		}
+		b = b[n:]
+		var v [3]uint64
+		for i := range v {
+			if v[i], n = protowire.ConsumeVarint(b); n < 0 {
+				return nil, errMalformed
+			}
+			b = b[n:]
+		}
+		if v[0] > maxRateUnits || v[1] > math.MaxUint32 || v[2] > math.MaxUint32 || len(out) == maxRates {
+			return nil, errMalformed
+		}
+		r := balance.RateNews{Upstream: upstream, PerSecond: ratelimit.Unlimited, Version: uint32(v[1]), Sent: uint32(v[2])}
+		if v[0] > 0 {
+			r.PerSecond = ratelimit.Round(float64(v[0]-1) * rateUnit)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// tellRates tells peers of limits. It sends a report also if there is nothing to tell.
+func (x *Exchange) tellRates(peers []Peer, news []balance.RateNews) {
+	for first := true; first || len(news) > 0; first = false {
+		n := min(len(news), maxRates)
+		r := Report{
+			Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq,
+			Scope: ScopeNone, Last: allUpstreams, HasRates: true, Rates: news[:n],
+		}
+		news = news[n:]
+		x.buf = r.Append(x.buf[:0])
+		for _, p := range peers {
+			_, _ = x.conn.WriteToUDPAddrPort(x.buf, p.Address)
+		}
+	}
+}
+
+// urgentRates tells the other senders of upstreams what they have not been told, and those that
+// reports go to of limits that have changed.
+func (x *Exchange) urgentRates(now time.Time) {
+	news := x.opt.Rates.RateNews(balance.NewsUntold)
+	x.tellSenders(x.opt.Fleet(), news, nil)
+	changed := slices.DeleteFunc(news, func(n balance.RateNews) bool { return !n.Changed })
+	if len(changed) > 0 && now.Sub(x.changesTold) >= changesGap {
+		x.changesTold = now
+		x.tellRates(x.rateListeners, changed)
+	}
+}
+
+// noteLife notices a peer that has started. The limits that it does not know are told to it at
+// once if there is room in the queue, else in the next report.
+func (x *Exchange) noteLife(p Peer, life uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.opt.Rates == nil || life <= x.lives[p.ID] {
+		return
+	}
+	x.lives[p.ID] = life
+	select {
+	case x.started <- p:
+	default:
+	}
+}
+
+// tellStarted tells a peer that has started all limits.
+func (x *Exchange) tellStarted(p Peer) {
+	if news := x.opt.Rates.RateNews(balance.NewsAll); len(news) > 0 {
+		x.tellRates([]Peer{p}, news)
+	}
+}
+
+// periodicRates tells again what may have been lost: the senders of their requests, and the
+// peers that reports go to of the limits.
+func (x *Exchange) periodicRates(fleet Fleet, to []Peer) {
+	x.rateListeners = to
+	if x.opt.Rates == nil || x.seq%ratesPeriods != 0 {
+		return
+	}
+	scope := balance.NewsRecent
+	if x.seq%allRatesPeriods == 0 {
+		scope = balance.NewsAll
+	}
+	news := x.opt.Rates.RateNews(scope)
+	x.tellSenders(fleet, news, x.opt.Rates.RateSenders())
+	if len(news) > 0 {
+		x.tellRates(to, news)
+	}
+}
+
+// listenersByHubs are those that an entry of a fleet with hubs tells of limits: its hub, or those
+// that it is the hub of and the other hubs.
+func listenersByHubs(self string, hub Peer, busy, idle, remote []Peer) []Peer {
+	out := slices.Concat(busy, idle)
+	if hub.ID != self {
+		out = append(out, hub)
+	}
+	if hub.ID == self || len(busy)+len(idle) > 0 {
+		out = append(out, remote...)
+	}
+	return out
+}
+
+// tellSenders tells each entry of those upstreams that it may send to as well, and those that
+// are to hear in any case that this entry is there.
+func (x *Exchange) tellSenders(fleet Fleet, news []balance.RateNews, always map[string]bool) {
+	if len(news)+len(always) == 0 {
+		return
+	}
+	for _, p := range fleet.Peers {
+		shared := slices.DeleteFunc(slices.Clone(news), func(n balance.RateNews) bool { return !slices.Contains(n.Senders, p.ID) })
+		if len(shared) > 0 || always[p.ID] {
+			x.tellRates([]Peer{p}, shared)
+		}
+	}
+}
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
 )
@@ -75,6 +76,9 @@
 	Covered int
 	// Relayed is set if the uses are what another hub told the sender.
 	Relayed bool
+	// HasRates is set if the report is about the limits of upstreams, Rates.
+	HasRates bool
+	Rates    []balance.RateNews
 }
 
 // Fields of the encoding, a protobuf message.
@@ -98,6 +102,7 @@
 	fieldUses        = 17
 	fieldCovered     = 18
 	fieldRelayed     = 19
+	fieldRates       = 20
 )
 
 const (
@@ -193,6 +198,10 @@
 		b = protowire.AppendTag(b, fieldUses, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendUses(nil, r.Uses))
 	}
+	if r.HasRates {
+		b = protowire.AppendTag(b, fieldRates, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendRates(nil, r.Rates))
+	}
 	for _, w := range r.Claims[:min(len(r.Claims), maxClaims)] {
 		b = protowire.AppendTag(b, fieldClaim, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendClaim(nil, &w))
@@ -244,7 +253,7 @@
 // Decode reads a report. Unknown fields are passed over.
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
-	var upstreams, requests, failures, absent, claim, uses []byte
+	var upstreams, requests, failures, absent, claim, uses, rates []byte
 	var claims [][]byte
 	var relayed, covered, usesScope, scope, doubt, doubtLeft, leaving, idle uint64
 	err := eachField(b, func(field protowire.Number, kind protowire.Type, b []byte) (n int) {
@@ -285,6 +294,9 @@
 			relayed, n = protowire.ConsumeVarint(b)
 		case field == fieldUses && kind == protowire.BytesType:
 			uses, n = protowire.ConsumeBytes(b)
+		case field == fieldRates && kind == protowire.BytesType:
+			rates, n = protowire.ConsumeBytes(b)
+			r.HasRates = true
 		case field == fieldFirst && kind == protowire.Fixed32Type:
 			r.First, n = protowire.ConsumeFixed32(b)
 		case field == fieldLast && kind == protowire.Fixed32Type:
@@ -309,6 +321,9 @@
 	if r.Uses, err = decodeUses(uses); err != nil {
 		return nil, err
 	}
+	if r.Rates, err = decodeRates(rates); err != nil {
+		return nil, err
+	}
 	if err := r.decodeAbsent(absent); err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,6 +194,7 @@
 	klog.InfoS("stopping", "grace", grace)
 	began := n.now()
 	n.stopping.Store(true)
+	n.Entry.Carrier.Retire()
 	time.Sleep(min(linger, grace/2))
 	n.Entry.Carrier.Stop()
 	for n.Entry.Carrier.InFlight() > 0 && n.now().Sub(began) < grace-killMargin {
@@ -254,11 +255,13 @@
 	Metrics  map[string]entry.ServiceMetrics  `json:"metrics"`
 	// Limits are those of the organisations that have requests.
 	Limits []quota.Status `json:"limits,omitempty"`
+	// Rates are the limits that upstreams name.
+	Rates []balance.RateStatus `json:"rates,omitempty"`
 }
 
 // Dump returns the node's state.
 func (n *Node) Dump() Dump {
-	return Dump{n.Status(), *n.members.Load(), n.Entry.Carrier.Dump(), n.Entry.Metrics(), n.Limits()}
+	return Dump{n.Status(), *n.members.Load(), n.Entry.Carrier.Dump(), n.Entry.Metrics(), n.Limits(), n.Rates()}
 }
 
 // maxLimits bounds the organisations in metrics and dumps.
@@ -267,6 +270,12 @@
 // Limits returns the limits of the organisations that have requests.
 func (n *Node) Limits() []quota.Status { return n.Entry.Carrier.Limits().Status(maxLimits, n.now()) }
 
+// maxRates bounds the upstreams with limits of each service in metrics and dumps.
+const maxRates = 1000
+
+// Rates returns the limits that upstreams name.
+func (n *Node) Rates() []balance.RateStatus { return n.Entry.Carrier.Rates(maxRates) }
+
 // Reports sets up the exchange of reports with the other nodes.
 func (n *Node) Reports(self model.Member) inflight.Options {
 	return inflight.Options{
@@ -278,6 +287,7 @@
 		Doubt:       n.doubt,
 		Claims:      n.Entry.Carrier.Claims,
 		Limits:      n.Entry.Carrier.Limits(),
+		Rates:       n.Entry.Carrier,
 		Leaving:     n.stopping.Load,
 		Busy:        n.busy,
 		Heard:       n.heard,
--- /dev/null
+++ b/internal/ratelimit/bucket.go
@@ -0,0 +1,240 @@
+package ratelimit
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// trickle is the least rate in requests per second. An upstream that gets nothing could
+	// not tell that its limit has ended.
+	trickle = 0.25
+	// burstTokens and burstTime are how many tokens a full bucket has, and how many seconds of
+	// the rate beside.
+	burstTokens = 1.75
+	burstTime   = 0.05
+	// stagger is the time in seconds by which the senders wait for each other: until it has
+	// passed the next one knows whether the one before it has sent.
+	stagger = 0.03
+	// maxDebt is how many seconds of the rate the level may be below zero, beside the burst.
+	maxDebt = 1.0
+	// unheardAfter is after what time without a word a sender is silent. From its last word on
+	// its part of the rate is left to it.
+	unheardAfter = 450 * time.Millisecond
+	// maxGap is the longest time that the bucket fills for at once. An entry that did not look
+	// at it for longer stood still, and has not heard what the others sent.
+	maxGap = time.Second
+	// maxRetry is the longest time that a refused caller is told to wait.
+	maxRetry = 5 * time.Second
+)
+
+// Bucket is the token bucket of one upstream as one of its senders sees it.
+type Bucket struct {
+	// rate is in requests per second.
+	rate  float64
+	level float64
+	at    time.Time
+	// rank is the own place among the senders, -1 if the entry is none of them.
+	rank  int
+	peers []peer
+	// sent counts the own requests.
+	sent uint32
+	// nextReturn is when the next refused caller is told to come back.
+	nextReturn time.Time
+}
+
+// peer is another sender.
+type peer struct {
+	id string
+	// sent is how many requests it told of last, in which of its lives; 0 means that it has
+	// not told yet.
+	sent  uint32
+	life  uint64
+	heard time.Time
+	// silent is set while it is not heard.
+	silent bool
+}
+
+// NewBucket returns an empty Bucket without senders.
+func NewBucket(perSecond float64, now time.Time) *Bucket {
+	return &Bucket{rate: math.Max(perSecond, trickle), at: now, rank: -1}
+}
+
+// SetRate changes the limit.
+func (b *Bucket) SetRate(perSecond float64, now time.Time) {
+	b.advance(now)
+	b.rate = math.Max(perSecond, trickle)
+	b.level = math.Min(b.level, b.capacity())
+}
+
+// SetSenders sets the entries that may send, in their order. An entry that becomes one begins
+// with an empty bucket: it does not know what the others have sent of late.
+func (b *Bucket) SetSenders(self string, ids []string, now time.Time) {
+	b.advance(now)
+	was := b.rank
+	b.rank = slices.Index(ids, self)
+	var peers []peer
+	for _, id := range ids {
+		if id == self {
+			continue
+		}
+		p := peer{id: id, heard: now}
+		if i := b.indexOf(id); i >= 0 {
+			p = b.peers[i]
+		}
+		peers = append(peers, p)
+	}
+	b.peers = peers
+	if was < 0 {
+		b.level = math.Min(b.level, 0)
+	}
+	b.level = math.Min(b.level, b.capacity())
+}
+
+func (b *Bucket) indexOf(id string) int {
+	return slices.IndexFunc(b.peers, func(p peer) bool { return p.id == id })
+}
+
+// Sender reports whether this entry may send at all.
+func (b *Bucket) Sender() bool { return b.rank >= 0 }
+
+// Peers calls visit with the id of each other sender.
+func (b *Bucket) Peers(visit func(id string)) {
+	for i := range b.peers {
+		visit(b.peers[i].id)
+	}
+}
+
+// Sent returns how many requests this entry has sent.
+func (b *Bucket) Sent() uint32 { return b.sent }
+
+// Alive records that another sender is there.
+func (b *Bucket) Alive(id string, now time.Time) {
+	if i := b.indexOf(id); i >= 0 {
+		b.advance(now)
+		b.peers[i].heard, b.peers[i].silent = now, false
+	}
+}
+
+// Heard takes in how many requests another sender has sent in its life, which is a number
+// above 0 that grows with each start.
+func (b *Bucket) Heard(id string, life uint64, sent uint32, now time.Time) {
+	i := b.indexOf(id)
+	if i < 0 {
+		return
+	}
+	b.advance(now)
+	p := &b.peers[i]
+	news := float64(sent)
+	switch {
+	case life < p.life, life == p.life && sent < p.sent:
+		// Overtaken by a later word.
+		return
+	case life == p.life:
+		news -= float64(p.sent)
+	case p.life == 0:
+		// Not all of them were sent of late.
+		news = math.Min(news, b.burst())
+	}
+	if p.silent {
+		news = math.Max(0, news-b.part()*now.Sub(p.heard).Seconds())
+	}
+	b.take(news)
+	p.sent, p.life, p.heard, p.silent = sent, life, now, false
+}
+
+// Wait returns after what time this entry may send a request: 0 if it may now. It is longer
+// than any request waits if the entry is no sender.
+func (b *Bucket) Wait(now time.Time) time.Duration {
+	if b.rank < 0 {
+		return math.MaxInt64
+	}
+	b.advance(now)
+	missing := 1 + b.offset(b.rank) - b.level
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / b.fills() * float64(time.Second))
+}
+
+// Spend counts a request that this entry sends.
+func (b *Bucket) Spend(now time.Time) {
+	b.advance(now)
+	b.sent++
+	b.take(1)
+}
+
+// Reserve returns after what time a refused caller may come back: once this entry may send,
+// and after those who were told so before.
+func (b *Bucket) Reserve(now time.Time) time.Duration {
+	first := now.Add(min(b.Wait(now), maxRetry))
+	if b.nextReturn.Before(first) {
+		b.nextReturn = first
+	}
+	wait := min(b.nextReturn.Sub(now), maxRetry)
+	b.nextReturn = b.nextReturn.Add(time.Duration(float64(time.Second) / b.fills()))
+	return wait
+}
+
+// Level returns how many requests all senders may send now, as this entry knows.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.advance(now)
+	return b.level
+}
+
+func (b *Bucket) take(n float64) {
+	b.level = math.Max(b.level-n, -(b.burst() + maxDebt*b.rate))
+}
+
+// advance brings the level up to a time.
+func (b *Bucket) advance(now time.Time) {
+	elapsed := min(now.Sub(b.at), maxGap)
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	b.leaveSilent(now)
+	b.level = math.Min(b.level+b.fills()*elapsed.Seconds(), b.capacity())
+}
+
+// leaveSilent takes off the level what senders that have fallen silent may have sent since
+// their last word.
+func (b *Bucket) leaveSilent(now time.Time) {
+	for i := range b.peers {
+		p := &b.peers[i]
+		if !p.silent && now.Sub(p.heard) >= unheardAfter {
+			p.silent = true
+			b.take(b.part() * unheardAfter.Seconds())
+		}
+	}
+}
+
+// part is the rate that is left to a sender that is not heard.
+func (b *Bucket) part() float64 { return b.rate / float64(1+len(b.peers)) }
+
+// fills returns the rate at which the bucket fills: the whole, but for the parts of senders
+// that are not heard. They may go on with theirs.
+func (b *Bucket) fills() float64 {
+	heard := 1
+	for i := range b.peers {
+		if !b.peers[i].silent {
+			heard++
+		}
+	}
+	return b.part() * float64(heard)
+}
+
+// burst is how many requests may come at once, beside the offsets.
+func (b *Bucket) burst() float64 {
+	return math.Min(burstTokens, 1+2*b.rate) + burstTime*b.rate
+}
+
+// capacity is the highest level.
+func (b *Bucket) capacity() float64 { return b.burst() + b.offset(len(b.peers)) }
+
+// offset is by how much more than one token the sender at a place waits for. Else all senders
+// would send at the moment at which the level that they share is high enough.
+func (b *Bucket) offset(rank int) float64 {
+	return float64(rank) * math.Min(stagger*b.rate, 1/float64(1+len(b.peers)))
+}
