--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -61,20 +61,20 @@
 // with a limit, or of a limit that has changed. It must be quick.
 func (g *Group) OnRateNews(notify func()) { g.notify = notify }
 
-// NoteRate takes in what the answer to a Choice says of its upstream's limit.
-func (g *Group) NoteRate(now time.Time, c Choice, r Rate) {
+// NoteRate takes in what the answer to a Choice says of its upstream's limit. It reports whether
+// that has changed.
+func (g *Group) NoteRate(now time.Time, c Choice, r Rate) bool {
 	if !r.Known || r.PerSecond == ratelimit.Unlimited && g.limited.Load() == 0 {
-		return
+		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := c.to
-	if m.restarted || m.gone {
-		return
-	}
-	if m.rate.Answered(ratelimit.Round(r.PerSecond), c.Picked, now) {
-		g.limitChanged(m, now)
+	if m.restarted || m.gone || !m.rate.Answered(ratelimit.Round(r.PerSecond), c.Picked, now) {
+		return false
 	}
+	g.limitChanged(m, now)
+	return true
 }
 
 // limitChanged brings the bucket of an upstream up to its limit.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -64,7 +64,7 @@
 		return nil, sendError(ctx, cl, &watch, err)
 	}
 	told := c.opt.Protocol.Read(resp, &cl.Ask, cl.service)
-	c.lane(cl.service.Name).group.NoteRate(c.now(), to, told.Rate)
+	c.noteRate(cl, to, told.Rate)
 	if told.NotRun != "" {
 		e := verdict.New(verdict.NotRun, told.NotRun, fmt.Errorf("upstream answered %s", resp.Status))
 		e.RetryAfter = retryAfterOf(resp)
--- a/internal/forward/carrier.go
+++ b/internal/forward/carrier.go
@@ -19,6 +19,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/admit"
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/logs"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
@@ -105,6 +106,8 @@
 	deadlines *deadlines
 	// rateNews has a value when other entries are to hear of the limits of upstreams at once.
 	rateNews chan struct{}
+	// rateLines bounds the lines about such limits.
+	rateLines *logs.Limiter
 }
 
 // lane is the state of one service.
@@ -131,7 +134,8 @@
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self), limits: quota.NewLimiter(), deadlines: newDeadlines(), rateNews: make(chan struct{}, 1)}
+	c := &Carrier{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, lanes: make(map[string]*lane), splits: newSplits(), poison: poison.NewTracker(opt.Self), limits: quota.NewLimiter(), deadlines: newDeadlines(), rateNews: make(chan struct{}, 1),
+		rateLines: logs.NewLimiter(rateLinesPerSecond, rateLineBurst)}
 	if opt.TLS != nil {
 		c.scheme = "https"
 	}
--- /dev/null
+++ b/internal/forward/rates.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
+)
+
+// rateLinesPerSecond and rateLineBurst bound the lines about limits that upstreams name.
+const (
+	rateLinesPerSecond = 5
+	rateLineBurst      = 40
+)
+
+// noteRate takes in what an answer says of the limit of its upstream.
+func (c *Carrier) noteRate(cl *call, from balance.Choice, r balance.Rate) {
+	now := c.now()
+	if !c.lane(cl.service.Name).group.NoteRate(now, from, r) {
+		return
+	}
+	kind := "upstream names a limit"
+	if r.PerSecond == ratelimit.Unlimited {
+		kind = "upstream names no limit any more"
+	}
+	if left, ok := c.rateLines.Allow(now, kind); ok {
+		klog.InfoS(kind, "service", cl.service.Name, "upstream", from.ID, "per_s", r.PerSecond, "request", cl.ID, "left_out", left)
+	}
+}
+
+// notifyRates has other entries told of the limits of upstreams at once.
+func (c *Carrier) notifyRates() {
+	select {
+	case c.rateNews <- struct{}{}:
+	default:
+	}
+}
+
+// UrgentRates has a value when other entries are to hear of the limits of upstreams at once.
+func (c *Carrier) UrgentRates() <-chan struct{} { return c.rateNews }
+
+// RateNews returns what to tell other entries of the limits of upstreams.
+func (c *Carrier) RateNews(scope balance.NewsScope) []balance.RateNews {
+	now := c.now()
+	var out []balance.RateNews
+	for _, l := range c.allLanes() {
+		l.group.RateNews(now, scope, func(n balance.RateNews) { out = append(out, n) })
+	}
+	return out
+}
+
+// RateSenders returns the ids of the entries that share the limit of an upstream with this one.
+func (c *Carrier) RateSenders() map[string]bool {
+	out := make(map[string]bool)
+	for _, l := range c.allLanes() {
+		l.group.RateSenders(func(id string) { out[id] = true })
+	}
+	return out
+}
+
+// HeardRates takes in what a peer told of the limits of upstreams in one of its lives.
+func (c *Carrier) HeardRates(peer string, life uint64, told []balance.RateNews) {
+	now := c.now()
+	for _, l := range c.allLanes() {
+		l.group.HeardRates(now, peer, life, told)
+	}
+}
+
+// Retire has the entry send no more requests to upstreams with limits: it is about to leave,
+// and others will not hear of its requests.
+func (c *Carrier) Retire() {
+	now := c.now()
+	for _, l := range c.allLanes() {
+		l.group.Retire(now)
+	}
+}
+
+// Rates returns the limits of upstreams, at most n of each service.
+func (c *Carrier) Rates(n int) []balance.RateStatus {
+	now := c.now()
+	var out []balance.RateStatus
+	for _, l := range c.allLanes() {
+		out = append(out, l.group.Rates(now, n)...)
+	}
+	return out
+}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -67,63 +67,6 @@
 	}
 }
 
-// notifyRates has other entries told of the limits of upstreams at once.
-func (c *Carrier) notifyRates() {
-	select {
-	case c.rateNews <- struct{}{}:
-	default:
-	}
-}
-
-// UrgentRates has a value when other entries are to hear of the limits of upstreams at once.
-func (c *Carrier) UrgentRates() <-chan struct{} { return c.rateNews }
-
-// RateNews returns what to tell other entries of the limits of upstreams.
-func (c *Carrier) RateNews(scope balance.NewsScope) []balance.RateNews {
-	now := c.now()
-	var out []balance.RateNews
-	for _, l := range c.allLanes() {
-		l.group.RateNews(now, scope, func(n balance.RateNews) { out = append(out, n) })
-	}
-	return out
-}
-
-// RateSenders returns the ids of the entries that share the limit of an upstream with this one.
-func (c *Carrier) RateSenders() map[string]bool {
-	out := make(map[string]bool)
-	for _, l := range c.allLanes() {
-		l.group.RateSenders(func(id string) { out[id] = true })
-	}
-	return out
-}
-
-// HeardRates takes in what a peer told of the limits of upstreams in one of its lives.
-func (c *Carrier) HeardRates(peer string, life uint64, told []balance.RateNews) {
-	now := c.now()
-	for _, l := range c.allLanes() {
-		l.group.HeardRates(now, peer, life, told)
-	}
-}
-
-// Retire has the entry send no more requests to upstreams with limits: it is about to leave,
-// and others will not hear of its requests.
-func (c *Carrier) Retire() {
-	now := c.now()
-	for _, l := range c.allLanes() {
-		l.group.Retire(now)
-	}
-}
-
-// Rates returns the limits of upstreams, at most n of each service.
-func (c *Carrier) Rates(n int) []balance.RateStatus {
-	now := c.now()
-	var out []balance.RateStatus
-	for _, l := range c.allLanes() {
-		out = append(out, l.group.Rates(now, n)...)
-	}
-	return out
-}
-
 // Claims returns what to tell other entries of requests under which upstreams ended.
 func (c *Carrier) Claims(n int, relay bool) []poison.Claim { return c.poison.Claims(c.now(), n, relay) }
 
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -12,6 +12,8 @@
 	RequestID = "X-Request-Id"
 	// Load is the number of requests in flight that an upstream reports.
 	Load = "Upstream-Load"
+	// Limit is the requests a second that an upstream takes from all entries together.
+	Limit = "Upstream-Limit"
 	// State is StateDraining on answers of an upstream that wants no new work.
 	State = "Upstream-State"
 )
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -372,7 +372,7 @@
 			klog.V(1).InfoS("report refused: not from its entry's address", "entry", p.ID, "address", p.Address, "from", from)
 			return
 		}
-		x.noteLife(p, r.Incarnation)
+		x.noteLife(p, r.Incarnation, fleet)
 		if r.HasRates {
 			if x.opt.Rates != nil {
 				x.opt.Rates.HeardRates(r.Entry, r.Incarnation, r.Rates)
--- a/internal/inflight/rates.go
+++ b/internal/inflight/rates.go
@@ -120,12 +120,16 @@
 
 // noteLife notices a peer that has started. The limits that it does not know are told to it at
 // once if there is room in the queue, else in the next report.
-func (x *Exchange) noteLife(p Peer, life uint64) {
+func (x *Exchange) noteLife(p Peer, life uint64, fleet Fleet) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.opt.Rates == nil || life <= x.lives[p.ID] {
 		return
 	}
+	if len(x.lives) > 2*len(fleet.Peers) {
+		// Most of them have left for good.
+		clear(x.lives)
+	}
 	x.lives[p.ID] = life
 	select {
 	case x.started <- p:
