--- a/internal/balance/ratelimit_test.go
+++ b/internal/balance/ratelimit_test.go
@@ -186,3 +186,62 @@
 		})
 	}
 }
+
+// TestLimitsOfAllUpstreamsAreUsed has all upstreams take half of what callers ask for. The rest is
+// refused at once.
+func TestLimitsOfAllUpstreamsAreUsed(t *testing.T) {
+	const perUpstream, perSecond = 12.0, 6.0
+	for seed := range *limitSeeds {
+		f := newLimitFleet(seed, 11, 12)
+		f.rate = constant(perUpstream * float64(len(f.service.Upstreams)))
+		f.limitOf = func(_ string, at time.Duration) float64 { return limitedFrom(perSecond)("u0", at) }
+		f.run(limitEnd)
+		span := (limitTo - limitFrom - limitSettle).Seconds()
+		for _, u := range f.service.Upstreams {
+			got, at := f.most(u.ID, limitWindow, limitFrom+limitSettle, limitTo)
+			if most := limitOver*perSecond*limitWindow.Seconds() + limitSlack; float64(got) > most {
+				t.Errorf("seed %d: %s got %d requests in %v before %v; allowed: %.1f", seed, u.ID, got, limitWindow, at, most)
+			}
+			if used := float64(f.between(u.ID, limitFrom+limitSettle, limitTo)) / span / perSecond; used < limitUse {
+				t.Errorf("seed %d: %.3f of the limit of %s was used; allowed: at least %v", seed, used, u.ID, limitUse)
+			}
+		}
+	}
+}
+
+// TestLimitsThatChangeEachSecond has a third of the upstreams name another limit each second,
+// under a load that doubles for a while. A limit that has just been lowered binds a second later.
+func TestLimitsThatChangeEachSecond(t *testing.T) {
+	limit := func(upstream string, second int) float64 {
+		return 2 + float64(HashObject(upstream, fmt.Sprint(second))%8)
+	}
+	for seed := range *limitSeeds {
+		f := newLimitFleet(seed, 11, 12)
+		f.rate = func(at time.Duration) float64 {
+			if at > 12*time.Second && at < 16*time.Second {
+				return 288
+			}
+			return 144
+		}
+		limited := map[string]bool{"u0": true, "u3": true, "u7": true, "u11": true}
+		f.limitOf = func(upstream string, at time.Duration) float64 {
+			if !limited[upstream] || at < limitFrom || at >= limitTo {
+				return ratelimit.Unlimited
+			}
+			return limit(upstream, int(at/time.Second))
+		}
+		f.run(limitTo)
+		for id := range limited {
+			for second := int((limitFrom + limitSettle) / time.Second); second+4 <= int(limitTo/time.Second); second++ {
+				allowed := limitSlack
+				for s := second; s < second+4; s++ {
+					allowed += limitOver * max(limit(id, s), limit(id, s-1))
+				}
+				from := time.Duration(second) * time.Second
+				if got := f.between(id, from, from+limitWindow); float64(got) > allowed {
+					t.Errorf("seed %d: %s got %d requests from %v to %v; allowed: %.1f", seed, id, got, from, from+limitWindow, allowed)
+				}
+			}
+		}
+	}
+}
