Limits reach all entries of fleets with and without hubs; senders of limited upstreams report often

An entry that shares a limit with others is busy: as an idle one it would be heard each half second only, and its part would be left to it. Tests over loopback: a limit, another one and its end reach all 8 entries that tell each other and all 48 of two failure domains with hubs; encoding, malformed and largest reports.

--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -124,6 +124,8 @@
 	tracker *poison.Tracker
 	// idle is set if the entry carries no requests.
 	idle atomic.Bool
+	// limits are those of upstreams.
+	limits *limitBook
 }
 
 const theUpstream = 7
@@ -237,11 +239,13 @@
 			e := &entry{heard: make(map[string]int), heardAt: make(map[string]time.Time), gone: make(map[string]bool), changed: make(chan struct{}, 1)}
 			e.peer = Peer{ID: fmt.Sprint(domain, "-", i), Domain: domain, Near: true}
 			e.tracker = poison.NewTracker(e.peer.ID)
+			e.limits = newLimitBook()
 			x, err := Listen(Options{
 				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, Heard: e.take, Doubt: noDoubt, Leaving: func() bool { return false }, Stranger: func(netip.AddrPort) {},
 				Fleet:  func() Fleet { return fleetFor(e, all) },
 				Claims: func(n int, relay bool) []poison.Claim { return e.tracker.Claims(time.Now(), n, relay) },
 				Busy:   func() bool { return !e.idle.Load() },
+				Rates:  e.limits,
 			})
 			if err != nil {
 				t.Fatal(err)
--- /dev/null
+++ b/internal/inflight/rates_test.go
@@ -0,0 +1,131 @@
+package inflight
+
+import (
+	"math"
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
+)
+
+// limitBook is Rates of one upstream that nobody sends to.
+type limitBook struct {
+	mu       sync.Mutex
+	register ratelimit.Register
+	untold   bool
+	urgent   chan struct{}
+}
+
+func newLimitBook() *limitBook { return &limitBook{urgent: make(chan struct{}, 1)} }
+
+func (b *limitBook) UrgentRates() <-chan struct{} { return b.urgent }
+
+func (b *limitBook) RateNews(scope balance.NewsScope) []balance.RateNews {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.register.Version() == 0 || scope == balance.NewsUntold && !b.untold {
+		return nil
+	}
+	n := balance.RateNews{Upstream: theUpstream, PerSecond: b.register.PerSecond(), Version: b.register.Version(), Changed: b.untold}
+	b.untold = false
+	return []balance.RateNews{n}
+}
+
+func (b *limitBook) RateSenders() map[string]bool { return nil }
+
+func (b *limitBook) HeardRates(_ string, _ uint64, told []balance.RateNews) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range told {
+		if b.register.Merge(n.PerSecond, n.Version, time.Now()) == ratelimit.Newer {
+			b.changed()
+		}
+	}
+}
+
+// names has an answer name a limit.
+func (b *limitBook) names(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.register.Answered(perSecond, now, now) {
+		b.changed()
+	}
+}
+
+// changed has the others told at once. The caller holds the lock.
+func (b *limitBook) changed() {
+	b.untold = true
+	select {
+	case b.urgent <- struct{}{}:
+	default:
+	}
+}
+
+func (b *limitBook) limit() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.register.PerSecond()
+}
+
+// TestLimitsReachAllEntries has one entry learn of a limit, another of its end, in a fleet that
+// tells each other and in one with hubs.
+func TestLimitsReachAllEntries(t *testing.T) {
+	for _, each := range []int{4, maxDirect} {
+		all := startFleet(t, each)
+		for _, step := range []struct {
+			learns    int
+			perSecond float64
+		}{{each - 1, 6.2}, {0, 2.5}, {2*each - 1, ratelimit.Unlimited}} {
+			all[step.learns].limits.names(step.perSecond)
+			for _, e := range all {
+				for e.limits.limit() != step.perSecond {
+					time.Sleep(pollEvery)
+				}
+			}
+		}
+	}
+}
+
+func TestRatesRoundTrip(t *testing.T) {
+	want := &Report{
+		Entry: "edge-1", Scope: ScopeNone, Last: allUpstreams, HasRates: true,
+		Rates: []balance.RateNews{
+			{Upstream: 0xfedcba98, PerSecond: 6.2, Version: 3, Sent: 70_000},
+			{Upstream: 1, PerSecond: 0, Version: math.MaxUint32},
+			{Upstream: 2, PerSecond: 2.346, Version: 1, Sent: math.MaxUint32},
+			{Upstream: 3, PerSecond: ratelimit.Unlimited, Version: 4},
+		},
+	}
+	got, err := Decode(want.Append(nil))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+func TestRatesFitADatagram(t *testing.T) {
+	worst := balance.RateNews{Upstream: allUpstreams, PerSecond: 1e6, Version: 1 << 20, Sent: math.MaxUint32}
+	r := Report{Entry: "an entry with a name of some length", Incarnation: 1 << 60, Sequence: 1 << 40, HasRates: true}
+	r.Rates = slices.Repeat([]balance.RateNews{worst}, maxRates)
+	if n := len(r.Append(nil)); n > maxDatagram {
+		t.Errorf("%d bytes", n)
+	}
+}
+
+func TestMalformedRates(t *testing.T) {
+	whole := appendRates(nil, []balance.RateNews{{Upstream: 1, PerSecond: 5, Version: 1, Sent: 2}})
+	for name, b := range map[string][]byte{
+		"cut":       whole[:len(whole)-1],
+		"half":      whole[:3],
+		"too many":  slices.Repeat(whole, maxRates+1),
+		"too large": append(slices.Clone(whole[:4]), 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f, 1, 1),
+	} {
+		if got, err := decodeRates(b); err == nil {
+			t.Errorf("%s is taken: %v", name, got)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,7 +298,8 @@
 
 // busy reports whether others have to hear of the node's requests at once.
 func (n *Node) busy() bool {
-	return n.Entry.Carrier.InFlight() > lightLoad || n.Entry.Carrier.Limits().InUse(n.now())
+	c := n.Entry.Carrier
+	return c.InFlight() > lightLoad || c.Limits().InUse(n.now()) || len(c.RateSenders()) > 0
 }
 
 func (n *Node) counts(whose balance.Counted) []inflight.Count {
