Limits of upstreams: senders no longer wait for each other by place; proofs and their ablation

The offsets by a sender's place were to keep all from sending at the moment at which the level that they share is high enough.

Seven rows of the ablation table, all fail as they must.

--- a/internal/balance/ratelimit_test.go
+++ b/internal/balance/ratelimit_test.go
@@ -1,13 +1,16 @@
 package balance
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/ratelimit"
 )
 
@@ -245,3 +248,117 @@
 		}
 	}
 }
+
+// limitedPair is a Group with two upstreams of one region of which the first takes a number of
+// requests a second, and the time at which its bucket is full.
+func limitedPair(t *testing.T, perSecond float64) (*Group, time.Time) {
+	t.Helper()
+	s, _ := site(1, 8)
+	s.Upstreams = s.Upstreams[:2]
+	self := model.Member{ID: "self", Region: "muscat", Domain: "muscat-a"}
+	g := groupAt(s, []model.Member{self}, self)
+	name(t, g, s.Upstreams[0].ID, perSecond, t0)
+	return g, t0.Add(time.Hour)
+}
+
+// name has an upstream name a limit in an answer.
+func name(t *testing.T, g *Group, upstream string, perSecond float64, now time.Time) {
+	t.Helper()
+	m := g.byID[upstream]
+	g.NoteRate(now, Choice{Upstream: m.Upstream, Picked: now, to: m}, Rate{Known: true, PerSecond: perSecond})
+}
+
+// TestEveryWayToSendKeepsToTheLimit sends as much as it may, in each way, at one moment.
+func TestEveryWayToSendKeepsToTheLimit(t *testing.T) {
+	object := func(change func(*ObjectRequest)) func(*Group, time.Time, int) (Choice, error) {
+		return func(g *Group, now time.Time, i int) (Choice, error) {
+			req := ObjectRequest{Object: HashObject("c", fmt.Sprint(i)), Class: "c", Objective: time.Second}
+			change(&req)
+			return g.PickObject(now, req)
+		}
+	}
+	for name, pick := range map[string]func(*Group, time.Time, int) (Choice, error){
+		"by object":       object(func(*ObjectRequest) {}),
+		"spread":          object(func(r *ObjectRequest) { r.Spread = true }),
+		"after the other": object(func(r *ObjectRequest) { r.Tried = []string{"muscat-b-0"} }),
+		"by service": func(g *Group, now time.Time, _ int) (Choice, error) {
+			return g.Pick(now, rand.New(rand.NewPCG(1, 2)), Request{Regions: []string{"muscat"}})
+		},
+	} {
+		g, now := limitedPair(t, 2)
+		sent := 0
+		for i := range 200 {
+			c, err := pick(g, now, i)
+			if err != nil {
+				continue
+			}
+			if c.ID == "muscat-a-0" {
+				sent++
+			}
+			// Refused without having run, it has reached the upstream all the same.
+			g.Done(now, c, Report{Result: ShedIdle, Load: 0, Waiting: 0})
+		}
+		if sent == 0 || sent > 2 {
+			t.Errorf("%s: %d requests at one moment at a limit of 2 a second", name, sent)
+		}
+	}
+}
+
+// TestLimitsLeaveNothingIsRefusedAtOnce asks for more than the only upstream takes: callers are
+// told when the next request may go, one after the other.
+func TestLimitsLeaveNothingIsRefusedAtOnce(t *testing.T) {
+	g, now := limitedPair(t, 2)
+	var refused *LimitError
+	var last time.Duration
+	for i := range 20 {
+		_, err := g.PickObject(now, ObjectRequest{Object: uint64(i), Class: "c", Tried: []string{"muscat-b-0"}})
+		if err == nil {
+			continue
+		}
+		if !errors.As(err, &refused) || !errors.Is(err, ErrNoSlot) {
+			t.Fatalf("refused with %v", err)
+		}
+		if refused.RetryAfter <= last && last < 5*time.Second {
+			t.Errorf("told to come back after %v, the one before after %v", refused.RetryAfter, last)
+		}
+		last = refused.RetryAfter
+	}
+	if refused == nil {
+		t.Fatal("nothing was refused")
+	}
+	if _, err := g.PickObject(now.Add(time.Second), ObjectRequest{Object: 1, Class: "c", Tried: []string{"muscat-b-0"}}); err != nil {
+		t.Errorf("a second later: %v", err)
+	}
+}
+
+// TestLimitBelongsToOneLife has an upstream that named a limit start again under its id.
+func TestLimitBelongsToOneLife(t *testing.T) {
+	now := t0
+	g := NewGroup()
+	g.Update(restartable(1000), now)
+	earlier := g.byID["u1"]
+	name(t, g, "u1", 0.1, now)
+	g.Update(restartable(2000), now)
+	if g.byID["u1"].rate.Limited() || g.limited.Load() != 0 {
+		t.Error("the new life is limited")
+	}
+	g.NoteRate(now, Choice{Upstream: earlier.Upstream, Picked: now, to: earlier}, Rate{Known: true, PerSecond: 0.2})
+	g.HeardRates(now, "e2", 1, []RateNews{{Upstream: earlier.key, PerSecond: 0.1, Version: 9}})
+	if g.byID["u1"].rate.Limited() || g.limited.Load() != 0 {
+		t.Error("word of the earlier life limits the new one")
+	}
+}
+
+// TestLeavingEntrySendsNothingToLimitedUpstreams retires an entry: the others do not hear of its
+// requests any more.
+func TestLeavingEntrySendsNothingToLimitedUpstreams(t *testing.T) {
+	g, now := limitedPair(t, 100)
+	g.Retire(now)
+	for i := range 100 {
+		c, err := g.PickObject(now.Add(time.Duration(i)*time.Second), ObjectRequest{Object: uint64(i), Class: "c"})
+		if err != nil || c.ID != "muscat-b-0" {
+			t.Fatalf("picked %s, %v", c.ID, err)
+		}
+		g.Done(now, c, Report{Result: Abandoned, Load: -1, Waiting: -1})
+	}
+}
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -12,11 +12,8 @@
 	trickle = 0.25
 	// burstTokens and burstTime are how many tokens a full bucket has, and how many seconds of
 	// the rate beside.
-	burstTokens = 1.75
-	burstTime   = 0.05
-	// stagger is the time in seconds by which the senders wait for each other: until it has
-	// passed the next one knows whether the one before it has sent.
-	stagger = 0.03
+	burstTokens = 2.25
+	burstTime   = 0.1
 	// maxDebt is how many seconds of the rate the level may be below zero, beside the burst.
 	maxDebt = 1.0
 	// unheardAfter is after what time without a word a sender is silent. From its last word on
@@ -35,9 +32,9 @@
 	rate  float64
 	level float64
 	at    time.Time
-	// rank is the own place among the senders, -1 if the entry is none of them.
-	rank  int
-	peers []peer
+	// sender is set if this entry may send, peers are the others that may.
+	sender bool
+	peers  []peer
 	// sent counts the own requests.
 	sent uint32
 	// nextReturn is when the next refused caller is told to come back.
@@ -58,22 +55,22 @@
 
 // NewBucket returns an empty Bucket without senders.
 func NewBucket(perSecond float64, now time.Time) *Bucket {
-	return &Bucket{rate: math.Max(perSecond, trickle), at: now, rank: -1}
+	return &Bucket{rate: math.Max(perSecond, trickle), at: now}
 }
 
 // SetRate changes the limit.
 func (b *Bucket) SetRate(perSecond float64, now time.Time) {
 	b.advance(now)
 	b.rate = math.Max(perSecond, trickle)
-	b.level = math.Min(b.level, b.capacity())
+	b.level = math.Min(b.level, b.burst())
 }
 
-// SetSenders sets the entries that may send, in their order. An entry that becomes one begins
+// SetSenders sets the entries that may send. An entry that becomes one begins
 // with an empty bucket: it does not know what the others have sent of late.
 func (b *Bucket) SetSenders(self string, ids []string, now time.Time) {
 	b.advance(now)
-	was := b.rank
-	b.rank = slices.Index(ids, self)
+	was := b.sender
+	b.sender = slices.Contains(ids, self)
 	var peers []peer
 	for _, id := range ids {
 		if id == self {
@@ -86,10 +83,9 @@
 		peers = append(peers, p)
 	}
 	b.peers = peers
-	if was < 0 {
+	if !was {
 		b.level = math.Min(b.level, 0)
 	}
-	b.level = math.Min(b.level, b.capacity())
 }
 
 func (b *Bucket) indexOf(id string) int {
@@ -97,7 +93,7 @@
 }
 
 // Sender reports whether this entry may send at all.
-func (b *Bucket) Sender() bool { return b.rank >= 0 }
+func (b *Bucket) Sender() bool { return b.sender }
 
 // Peers calls visit with the id of each other sender.
 func (b *Bucket) Peers(visit func(id string)) {
@@ -147,11 +143,11 @@
 // Wait returns after what time this entry may send a request: 0 if it may now. It is longer
 // than any request waits if the entry is no sender.
 func (b *Bucket) Wait(now time.Time) time.Duration {
-	if b.rank < 0 {
+	if !b.sender {
 		return math.MaxInt64
 	}
 	b.advance(now)
-	missing := 1 + b.offset(b.rank) - b.level
+	missing := 1 - b.level
 	if missing <= 0 {
 		return 0
 	}
@@ -195,7 +191,7 @@
 	}
 	b.at = now
 	b.leaveSilent(now)
-	b.level = math.Min(b.level+b.fills()*elapsed.Seconds(), b.capacity())
+	b.level = math.Min(b.level+b.fills()*elapsed.Seconds(), b.burst())
 }
 
 // leaveSilent takes off the level what senders that have fallen silent may have sent since
@@ -225,16 +221,7 @@
 	return b.part() * float64(heard)
 }
 
-// burst is how many requests may come at once, beside the offsets.
+// burst is the highest level: how many requests may come at once.
 func (b *Bucket) burst() float64 {
 	return math.Min(burstTokens, 1+2*b.rate) + burstTime*b.rate
 }
-
-// capacity is the highest level.
-func (b *Bucket) capacity() float64 { return b.burst() + b.offset(len(b.peers)) }
-
-// offset is by how much more than one token the sender at a place waits for. Else all senders
-// would send at the moment at which the level that they share is high enough.
-func (b *Bucket) offset(rank int) float64 {
-	return float64(rank) * math.Min(stagger*b.rate, 1/float64(1+len(b.peers)))
-}
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -14,6 +14,8 @@
 	pkgPoison   = "./internal/poison"
 	pkgReports  = "./internal/inflight"
 	pkgQuota    = "./internal/quota"
+	// pkgRateLimit has the limits that upstreams name.
+	pkgRateLimit = "./internal/ratelimit"
 )
 
 var ablations = []ablation{
@@ -208,6 +210,20 @@
 		"silent += src.Weight - covered", "_ = covered", pkgQuota, "CutApart", nil},
 	{"keys that were taken away are not sent on", "internal/forward/limit.go",
 		"if fault != nil && fault.Status == http.StatusUnauthorized {", "if false {", pkgPlatform, "UnderARequest", nil},
+	{"senders of a limited upstream take off what others sent", "internal/ratelimit/bucket.go",
+		"b.take(news)", "_ = news", pkgBalance, "KeptAndUsed", nil},
+	{"the part of a silent sender is left to it", "internal/ratelimit/bucket.go",
+		"p.silent = true\n", "", pkgRateLimit, "SilentSenders", nil},
+	{"overtaken answers do not end a limit", "internal/ratelimit/register.go",
+		"case sent.Before(r.changed), perSecond > known && sent.Before(r.seen):", "case false:", pkgRateLimit, "Overtaken", nil},
+	{"a limit that takes nothing is asked for now and then", "internal/ratelimit/bucket.go",
+		"trickle = 0.25", "trickle = 0.0", pkgRateLimit, "Trickle", nil},
+	{"a limit belongs to one life", "internal/balance/ratelimit.go",
+		"if m.restarted || m.gone || ", "if ", pkgBalance, "OneLife", nil},
+	{"requests that wait for a limit are refused at once", "internal/balance/late.go",
+		"return g.limitError(now, ranked)", "return ErrNoSlot", pkgBalance, "RefusedAtOnce", nil},
+	{"entries that leave send nothing to limited upstreams", "internal/balance/ratelimit.go",
+		"g.retired = true", "g.retired = false", pkgBalance, "LeavingEntry", nil},
 	{"the boot clock goes on", "internal/bootclock/clock.go",
 		"c.missed.Store(int64(missed))", "_ = missed", pkgForward, "Suspen", nil},
 }
