Limited upstreams serve their own objects first; the nearest entries share a limit

Cause, in virtual time: with all upstreams limited a request went to any that had room for it, where its object was not at hand, in the place of one whose object was.

A request that belongs to another upstream, or comes from another region, now goes to a limited one only if its bucket is full. So entries of all regions may share a limit; far ones use what is left.

Nothing changes where no upstream names a limit.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -86,13 +86,13 @@
 	t := g.times(req.Class)
 	switch {
 	case req.Spread:
-		return g.byPlace(now, req)
+		return g.markHome(g.byPlace(now, req), true)
 	case t.huge():
-		return g.withOwnDomain(g.settledFirst(now, g.byPlace(now, req)))
+		return g.withOwnDomain(g.settledFirst(now, g.markHome(g.byPlace(now, req), false)))
 	case t.large():
-		return perDomain(g.settledFirst(now, g.byPlace(now, req)))
+		return perDomain(g.settledFirst(now, g.markHome(g.byPlace(now, req), false)))
 	}
-	ranked := g.settledFirst(now, g.front(now, req, replicas+maxColdAhead))
+	ranked := g.settledFirst(now, g.markHome(g.front(now, req, replicas+maxColdAhead), false))
 	return ranked[:min(replicas, len(ranked))]
 }
 
@@ -102,12 +102,12 @@
 // what it would take over. Placed first, upstreams that join have requests refused while most
 // slots are free, since most entries may not send to cold ones.
 func (g *Group) settledFirst(now time.Time, cs []candidate) []candidate {
-	slices.SortStableFunc(cs, func(a, b candidate) int { return compareBool(g.unsettled(a.m, now), g.unsettled(b.m, now)) })
+	slices.SortStableFunc(cs, func(a, b candidate) int { return compareBool(g.unsettled(a, now), g.unsettled(b, now)) })
 	return cs
 }
 
-func (g *Group) unsettled(m *member, now time.Time) bool {
-	return g.cold(m, now) || !m.withinRate(now)
+func (g *Group) unsettled(c candidate, now time.Time) bool {
+	return g.cold(c.m, now) || c.rateWait(now) > 0
 }
 
 // compareBool orders false before true.
@@ -201,7 +201,7 @@
 	var least time.Duration
 	rank := 0
 	for i, c := range ranked {
-		if !may(i, c.m) || !g.hasRoom(c.m, now) || g.tooLate(c.m, now, req) {
+		if !may(i, c.m) || c.rateWait(now) > 0 || !g.hasRoom(c.m, now) || g.tooLate(c.m, now, req) {
 			continue
 		}
 		t := g.expected(c.m, now, req, i)
--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -137,9 +137,10 @@
 	// probeAt is when a region most of which fails may next be tried first.
 	probeAt map[string]time.Time
 
-	// self and domain are the id and failure domain of this entry, entries those that
+	// self, home and domain are the id, region and failure domain of this entry, entries those that
 	// carry requests.
 	self    string
+	home    string
 	domain  string
 	entries []model.Member
 	// coldRate bounds the requests to a cold upstream per second from all entries.
@@ -199,7 +200,7 @@
 	defer g.mu.Unlock()
 	first := len(g.byID) == 0
 	g.warmup, g.coldRate, g.draining = svc.Warmup, svc.ColdRate, in.Draining
-	g.self, g.domain, g.entries = in.Self, in.Domain, in.Entries
+	g.self, g.home, g.domain, g.entries = in.Self, in.Home, in.Domain, in.Entries
 	g.regions, g.all = make(map[string][]*member), nil
 	seen := make(map[string]bool)
 	for _, u := range svc.Upstreams {
--- a/internal/balance/late.go
+++ b/internal/balance/late.go
@@ -42,7 +42,7 @@
 	var first *member
 	var least time.Duration
 	for _, c := range ranked {
-		if !c.m.withinRate(now) {
+		if c.rateWait(now) > 0 {
 			continue
 		}
 		if w := g.wait(c.m, now, req); first == nil || w < least {
@@ -86,7 +86,7 @@
 
 // hasRoom reports whether one more request may join those at an upstream.
 func (g *Group) hasRoom(m *member, now time.Time) bool {
-	if now.Before(m.shedUntil) || !m.withinRate(now) || g.cold(m, now) && !g.takesCold(m, now) {
+	if now.Before(m.shedUntil) || g.cold(m, now) && !g.takesCold(m, now) {
 		return false
 	}
 	return g.estimate(m, now)+1 <= g.capacity(m)
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -14,6 +14,8 @@
 type candidate struct {
 	m     *member
 	place float64
+	// spills is set if the request belongs to another upstream, or comes from another region.
+	spills bool
 }
 
 // scratch holds the memory of the lists that each pick makes anew.
@@ -59,7 +61,7 @@
 		if !g.usable(m, now, req) {
 			continue
 		}
-		c := candidate{m, place(req.Object, m)}
+		c := candidate{m: m, place: place(req.Object, m)}
 		all = append(all, c)
 		if !g.silent(m, now) && !m.outlying(now) {
 			answering = append(answering, c)
--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"time"
 
-	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/ratelimit"
 )
 
@@ -130,16 +128,13 @@
 	}
 }
 
-// senders returns the ids of the entries that share the limit of an upstream: those of its
-// region, or all if there are none, the nearest first. All entries work out the same.
+// senders returns the ids of the entries that share the limit of an upstream, the nearest. All
+// entries work out the same.
 func (g *Group) senders(m *member) []string {
 	if g.retired {
 		return nil
 	}
 	order := g.nearest(m)
-	if far := slices.IndexFunc(order, func(e model.Member) bool { return e.Region != m.Region }); far > 0 {
-		order = order[:far]
-	}
 	var ids []string
 	for _, e := range order[:min(len(order), maxSenders)] {
 		ids = append(ids, e.ID)
@@ -160,6 +155,29 @@
 // entry.
 func (m *member) withinRate(now time.Time) bool { return m.bucket == nil || m.bucket.Wait(now) == 0 }
 
+// markHome marks which of the candidates of an object, in its order, is its home: the first, if it
+// is in the region of this entry. A request without an object is at home in the whole region.
+func (g *Group) markHome(cs []candidate, spread bool) []candidate {
+	for i := range cs {
+		cs[i].spills = i > 0 && !spread || cs[i].m.Region != g.home
+	}
+	return cs
+}
+
+// rateWait returns after what time the limit of a candidate leaves room for a request of this
+// entry; 0 if it does now. A request that belongs elsewhere gets only what the upstream's own
+// objects leave: it would take the place of one of these, and its object would be at hand at
+// neither.
+func (c candidate) rateWait(now time.Time) time.Duration {
+	switch {
+	case c.m.bucket == nil:
+		return 0
+	case c.spills:
+		return c.m.bucket.WaitSpare(now)
+	}
+	return c.m.bucket.Wait(now)
+}
+
 // spendRate counts a request against the limit of its upstream.
 func (g *Group) spendRate(m *member, now time.Time) {
 	if m.bucket == nil {
@@ -176,7 +194,7 @@
 	var first *member
 	least := time.Duration(math.MaxInt64)
 	for _, c := range ranked {
-		if w := c.m.bucket.Wait(now); w < least {
+		if w := c.rateWait(now); w < least {
 			first, least = c.m, w
 		}
 	}
@@ -184,7 +202,7 @@
 		// Others have the room that there is.
 		return ErrNoSlot
 	}
-	return &LimitError{Upstream: first.ID, PerSecond: first.rate.PerSecond(), RetryAfter: first.bucket.Reserve(now)}
+	return &LimitError{Upstream: first.ID, PerSecond: first.rate.PerSecond(), RetryAfter: first.bucket.Reserve(least, now)}
 }
 
 // NewsScope says of which limits others are told.
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -143,11 +143,20 @@
 // Wait returns after what time this entry may send a request: 0 if it may now. It is longer
 // than any request waits if the entry is no sender.
 func (b *Bucket) Wait(now time.Time) time.Duration {
+	return b.until(1, now)
+}
+
+// WaitSpare returns after what time the bucket is full, which shows that the senders do not use
+// the whole limit.
+func (b *Bucket) WaitSpare(now time.Time) time.Duration { return b.until(b.burst(), now) }
+
+// until returns after what time the level is reached.
+func (b *Bucket) until(level float64, now time.Time) time.Duration {
 	if !b.sender {
 		return math.MaxInt64
 	}
 	b.advance(now)
-	missing := 1 - b.level
+	missing := level - b.level
 	if missing <= 0 {
 		return 0
 	}
@@ -161,14 +170,14 @@
 	b.take(1)
 }
 
-// Reserve returns after what time a refused caller may come back: once this entry may send,
-// and after those who were told so before.
-func (b *Bucket) Reserve(now time.Time) time.Duration {
-	first := now.Add(min(b.Wait(now), maxRetry))
+// Reserve returns after what time a refused caller may come back whose request may go after a
+// wait: after that, and after those who were told so before.
+func (b *Bucket) Reserve(wait time.Duration, now time.Time) time.Duration {
+	first := now.Add(min(wait, maxRetry))
 	if b.nextReturn.Before(first) {
 		b.nextReturn = first
 	}
-	wait := min(b.nextReturn.Sub(now), maxRetry)
+	wait = min(b.nextReturn.Sub(now), maxRetry)
 	b.nextReturn = b.nextReturn.Add(time.Duration(float64(time.Second) / b.fills()))
 	return wait
 }
--- a/internal/ratelimit/bucket_test.go
+++ b/internal/ratelimit/bucket_test.go
@@ -134,14 +134,14 @@
 	hearAll(b, 0, t0)
 	last := time.Duration(-1)
 	for range 5 {
-		wait := b.Reserve(t0)
+		wait := b.Reserve(b.Wait(t0), t0)
 		if wait <= last {
 			t.Errorf("told to come back after %v, the one before after %v", wait, last)
 		}
 		last = wait
 	}
 	for range 100 {
-		if wait := b.Reserve(t0); wait > maxRetry {
+		if wait := b.Reserve(b.Wait(t0), t0); wait > maxRetry {
 			t.Fatalf("told to come back after %v", wait)
 		}
 	}
--- a/internal/sim/loomkeel.go
+++ b/internal/sim/loomkeel.go
@@ -40,10 +40,11 @@
 		d := p.site.Domains[e.domain]
 		l.members = append(l.members, model.Member{ID: e.id, Region: d.Region, Domain: d.Name, State: membership.Alive})
 	}
-	for range p.entries {
+	for e := range p.entries {
 		groups := make([]*balance.Group, len(l.services))
 		for i := range groups {
 			groups[i] = balance.NewGroup()
+			l.tellOfLimits(e, i, groups[i])
 		}
 		l.groups = append(l.groups, groups)
 	}
@@ -51,6 +52,48 @@
 	return l
 }
 
+// limitNewsAfter is after what time entries tell each other of limits and of requests to
+// upstreams that have one.
+const limitNewsAfter = 5 * time.Millisecond
+
+// tellOfLimits has a group tell the others of limits.
+func (l *loomkeel) tellOfLimits(from, service int, g *balance.Group) {
+	pending := false
+	g.OnRateNews(func() {
+		if pending {
+			return
+		}
+		pending = true
+		l.play.after(limitNewsAfter, func() {
+			pending = false
+			l.tellRates(from, service, balance.NewsUntold)
+		})
+	})
+}
+
+func (l *loomkeel) tellRates(from, service int, scope balance.NewsScope) {
+	var news []balance.RateNews
+	l.groups[from][service].RateNews(l.play.now, scope, func(n balance.RateNews) { news = append(news, n) })
+	if len(news) == 0 {
+		return
+	}
+	for to := range l.groups {
+		if to != from {
+			l.play.after(l.way(from, to), func() {
+				l.groups[to][service].HeardRates(l.play.now, l.members[from].ID, 1, news)
+			})
+		}
+	}
+}
+
+// way is the one-way latency between two entries.
+func (l *loomkeel) way(from, to int) time.Duration {
+	if l.members[to].Region == l.members[from].Region {
+		return l.play.site.Within
+	}
+	return l.play.site.Between
+}
+
 // update gives all groups what an operator's order changed.
 func (l *loomkeel) update(now time.Time) {
 	drained := make(map[string]bool)
@@ -83,8 +126,12 @@
 	}
 	d := Decision{Upstream: -1}
 	var late *balance.LateError
-	if errors.As(err, &late) {
+	var limit *balance.LimitError
+	switch {
+	case errors.As(err, &late):
 		d.RetryAfter = late.RetryAfter
+	case errors.As(err, &limit):
+		d.RetryAfter = limit.RetryAfter
 	}
 	return d
 }
@@ -98,7 +145,11 @@
 	case e.Shed:
 		report.Result = balance.Shed
 	}
-	l.groups[entry][l.play.site.Classes[r.Class].Service].Done(now, e.Token.(balance.Choice), report)
+	g := l.groups[entry][l.play.site.Classes[r.Class].Service]
+	if !e.TimedOut {
+		g.NoteRate(now, e.Token.(balance.Choice), balance.Rate{Known: true, PerSecond: e.PerSecond})
+	}
+	g.Done(now, e.Token.(balance.Choice), report)
 }
 
 // Tick implements Policy: entries of a region tell each other each time, others every
@@ -114,6 +165,7 @@
 			load := balance.PeerLoad{Peer: l.members[i].ID, Last: math.MaxUint32, At: make(map[uint32]balance.Load)}
 			g.LoadAt(now, balance.Counted{Own: true}, func(u uint32, n balance.Load) { load.At[u] = n })
 			l.tell(i, s, load)
+			l.tellRates(i, s, balance.NewsAll)
 		}
 	}
 }
@@ -124,10 +176,6 @@
 		if to == from || !near && l.ticks%2 == 0 {
 			continue
 		}
-		way := l.play.site.Within
-		if !near {
-			way = l.play.site.Between
-		}
-		l.play.after(way, func() { l.groups[to][service].Heard(l.play.now, load) })
+		l.play.after(l.way(from, to), func() { l.groups[to][service].Heard(l.play.now, load) })
 	}
 }
--- a/internal/sim/named.go
+++ b/internal/sim/named.go
@@ -12,6 +12,8 @@
 	"emptied-domain": emptiedDomain,
 	"idle-sheds":     idleSheds,
 	"burst":          burst,
+	"limits-some":    func() *Site { return limits(0.5) },
+	"limits-all":     func() *Site { return limits(1) },
 }
 
 // regional is a deployment of three regions of two failure domains each, one of which
@@ -62,3 +64,24 @@
 	s.Events = []Event{{At: 6 * time.Second, For: 6 * time.Second, Kind: Burst, Factor: 1.5}}
 	return s
 }
+
+// limits has a share of the upstreams take less than half of what they get. The others have
+// slots for the rest, but not for its objects as well.
+func limits(share float64) *Site {
+	s := &Site{
+		Name: fmt.Sprint("limits-", share), Between: 50 * time.Millisecond, Within: time.Millisecond, Client: time.Millisecond,
+		Length:   30 * time.Second,
+		Services: []Service{{Name: "history", Upstreams: []int{3, 3, 3, 3, 3, 3}, Slots: 6, Queue: 18, Memory: 30}},
+		Classes: []Class{{
+			Name: "look-up", Objects: 100, Skew: 0.3, Work: 640 * time.Millisecond, Gain: 0.7, Spread: 0.15, Rate: 34,
+			Objective: 500 * time.Millisecond, Timeout: 3 * time.Second, Deadline: 3 * time.Second, Worth: 1, Late: 0.2,
+		}},
+		Events: []Event{{At: 8 * time.Second, For: 18 * time.Second, Kind: Limit, Share: share, Factor: 0.45}},
+	}
+	for _, name := range []string{"east", "north", "west"} {
+		for _, letter := range []string{"a", "b"} {
+			s.Domains = append(s.Domains, Domain{name + "-" + letter, name, 2})
+		}
+	}
+	return s
+}
--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
 )
 
 const (
@@ -51,6 +53,8 @@
 	Load, Waiting int
 	// RoundTrip is the time to the upstream and back.
 	RoundTrip time.Duration
+	// PerSecond is the limit that the upstream names, or ratelimit.Unlimited.
+	PerSecond float64
 }
 
 // Request is one try of a caller.
@@ -322,6 +326,7 @@
 // reach brings an attempt to its upstream.
 func (p *Play) reach(a *attempt) {
 	u := p.upstreams[a.upstream]
+	u.arrive(p.now)
 	if u.sheds > 0 && p.rnd.Float64() < u.sheds || u.running >= u.slots && len(u.queue) >= u.limit {
 		p.after(p.way(a), func() { p.shed(a) })
 		return
@@ -339,7 +344,7 @@
 	p.after(u.work(c, a.Object, a.cold), func() {
 		u.running--
 		u.touch(a.Object)
-		end := End{Token: a.token, Load: u.load(), Waiting: len(u.queue), RoundTrip: 2 * p.way(a)}
+		end := End{Token: a.token, Load: u.load(), Waiting: len(u.queue), RoundTrip: 2 * p.way(a), PerSecond: u.perSecond}
 		p.after(p.way(a), func() { p.answer(a, end) })
 		p.startNext(u)
 	})
@@ -372,7 +377,7 @@
 	}
 	a.ended = true
 	u := p.upstreams[a.upstream]
-	p.policy.Done(p.now, a.entry, a.Request, End{Token: a.token, Shed: true, Load: u.load(), Waiting: len(u.queue)})
+	p.policy.Done(p.now, a.entry, a.Request, End{Token: a.token, Shed: true, Load: u.load(), Waiting: len(u.queue), PerSecond: u.perSecond})
 	a.Tried = append(a.Tried, a.upstream)
 	if a.attempts >= maxAttempts {
 		a.over = true
@@ -402,6 +407,8 @@
 			p.burst = choose(on, e.Factor, 1)
 		case Slow:
 			p.each(e, func(u *upstream) { u.slow = choose(on, e.Factor, 1) })
+		case Limit:
+			p.each(e, func(u *upstream) { u.perSecond = choose(on, e.Factor*u.rate(), ratelimit.Unlimited) })
 		case ShedIdle:
 			p.each(e, func(u *upstream) { u.sheds = choose(on, e.Factor, 0) })
 		}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -86,3 +86,16 @@
 		}
 	}
 }
+
+// TestLimitedUpstreamsKeepTheirObjects has all upstreams take less than half of their requests.
+// Callers of most of these get their answers in time, as each upstream's limit serves its own
+// objects: served wherever there is room for a request, few had their object at hand.
+func TestLimitedUpstreamsKeepTheirObjects(t *testing.T) {
+	const taken, least = 0.45, 0.5
+	for seed := range uint64(4) {
+		sum := New(Named["limits-all"](), seed, Policies["loomkeel"]).Run().between(10*time.Second, 26*time.Second)
+		if inTime := float64(sum.InTime) / float64(sum.Asked); inTime < least*taken {
+			t.Errorf("seed %d: %.3f of the requests in time, where limits leave room for %v", seed, inTime, taken)
+		}
+	}
+}
--- a/internal/sim/site.go
+++ b/internal/sim/site.go
@@ -80,7 +80,7 @@
 	Service, Domain int
 	// Share is the part of the upstreams concerned.
 	Share float64
-	// Factor is by how much work is slower, or the part of the requests refused.
+	// Factor is by how much work is slower, or the part of the requests refused or taken.
 	Factor float64
 }
 
@@ -97,7 +97,12 @@
 	ShedIdle
 	// Burst multiplies the load.
 	Burst
-	eventKinds
+	// Limit has some upstreams name a limit: the part Factor of the requests a second that
+	// each got before.
+	Limit
+
+	// randomKinds bounds the kinds that Random draws from.
+	randomKinds = Limit
 )
 
 // Random returns a deployment drawn from a seed: of one to four regions, with work of
@@ -162,7 +167,7 @@
 func (s *Site) addEvent(r *rand.Rand) {
 	e := Event{
 		At: between(r, 3*time.Second, 10*time.Second), For: between(r, 3*time.Second, 8*time.Second),
-		Kind: EventKind(r.IntN(int(eventKinds))), Service: r.IntN(len(s.Services)), Domain: r.IntN(len(s.Domains)),
+		Kind: EventKind(r.IntN(int(randomKinds))), Service: r.IntN(len(s.Services)), Domain: r.IntN(len(s.Domains)),
 		Share: 0.1 + 0.4*r.Float64(),
 	}
 	switch e.Kind {
--- a/internal/sim/upstream.go
+++ b/internal/sim/upstream.go
@@ -3,8 +3,24 @@
 import (
 	"container/list"
 	"time"
+
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
 )
 
+// arrivalsOver is the time over which an upstream counts what it gets.
+const arrivalsOver = 4 * time.Second
+
+// arrive counts a request.
+func (u *upstream) arrive(now time.Time) {
+	u.arrived = append(u.arrived, now)
+	for now.Sub(u.arrived[0]) > arrivalsOver {
+		u.arrived = u.arrived[1:]
+	}
+}
+
+// rate is how many requests a second the upstream gets.
+func (u *upstream) rate() float64 { return float64(len(u.arrived)) / arrivalsOver.Seconds() }
+
 // upstream is one upstream of a service.
 type upstream struct {
 	id      string
@@ -17,6 +33,9 @@
 	queue   []*attempt
 	// slow multiplies the work, sheds is the part of the requests that it refuses.
 	slow, sheds float64
+	// perSecond is the limit that it names, and arrived are when the last requests came.
+	perSecond float64
+	arrived   []time.Time
 	// warm holds the objects at hand, used those used last first.
 	warm map[uint64]*list.Element
 	used *list.List
@@ -25,7 +44,7 @@
 func newUpstream(id string, service, domain int, s Service) *upstream {
 	return &upstream{
 		id: id, service: service, domain: domain, slots: s.Slots, limit: s.Queue, memory: s.Memory,
-		slow: 1, warm: make(map[uint64]*list.Element), used: list.New(),
+		slow: 1, perSecond: ratelimit.Unlimited, warm: make(map[uint64]*list.Element), used: list.New(),
 	}
 }
 
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -222,6 +222,8 @@
 		"if m.restarted || m.gone || ", "if ", pkgBalance, "OneLife", nil},
 	{"requests that wait for a limit are refused at once", "internal/balance/late.go",
 		"return g.limitError(now, ranked)", "return ErrNoSlot", pkgBalance, "RefusedAtOnce", nil},
+	{"limited upstreams serve their own objects first", "internal/balance/ratelimit.go",
+		"case c.spills:", "case false:", "./internal/sim", "LimitedUpstreams", nil},
 	{"entries that leave send nothing to limited upstreams", "internal/balance/ratelimit.go",
 		"g.retired = true", "g.retired = false", pkgBalance, "LeavingEntry", nil},
 	{"the boot clock goes on", "internal/bootclock/clock.go",
