--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -120,7 +120,7 @@
 	{"strong members are named alone", "internal/model/strong.go",
 		"if s >= alike {", "if s >= 0 {", "./internal/route", "StrongMembers", nil},
 	{"cold upstreams come last", "internal/balance/affinity.go",
-		"return compareBool(g.cold(a.m, now), g.cold(b.m, now))", "return 0", pkgBalance, "JoiningUpstreams", nil},
+		"return g.cold(c.m, now) || c.rateWait(now) > 0", "return c.rateWait(now) > 0", pkgBalance, "JoiningUpstreams", nil},
 	{"nothing holds of an earlier life", "internal/balance/group.go",
 		"if m != nil && u.RestartOf(&m.Upstream) {", "if false {", pkgBalance, "RestartUnder", nil},
 	{"an earlier life brings nothing back", "internal/view/view.go",
