Counts of requests go on over the end of a limit

Found in review: an entry that sees a limit end and another begin started its count anew, while one that heard of both together kept the count before, and took what followed for overtaken words: requests at the upstream that nobody else counted. The bucket of a limit that has ended is kept for the next one. Reports to the senders are put together by one look at each peer.

--- a/internal/balance/group.go
+++ b/internal/balance/group.go
@@ -109,9 +109,10 @@
 	// cold; nil until it was worked out for the present entries.
 	sender *bool
 	// rate is what is known of the upstream's own limit, bucket keeps to it; nil if there is
-	// none.
-	rate   ratelimit.Register
-	bucket *ratelimit.Bucket
+	// none. lastBucket is that of the limit before: entries do not see each end of a limit, and
+	// go on with the counts of their requests.
+	rate               ratelimit.Register
+	bucket, lastBucket *ratelimit.Bucket
 	// rateUntold is set while others have not been told of what has changed, limitUntold if that
 	// is the limit. The last request was counted at spentAt, and all are told of the limit until
 	// limitNewsUntil.
--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -80,11 +80,16 @@
 	limited := m.rate.Limited()
 	switch {
 	case !limited && m.bucket != nil:
-		m.bucket = nil
+		m.bucket, m.lastBucket = nil, m.bucket
 		g.limited.Add(-1)
 	case limited && m.bucket == nil:
-		m.bucket = ratelimit.NewBucket(m.rate.PerSecond(), now)
+		m.bucket = m.lastBucket
+		if m.bucket == nil {
+			m.bucket = ratelimit.NewBucket(now)
+		}
+		m.bucket.SetRate(m.rate.PerSecond(), now)
 		m.bucket.SetSenders(g.self, g.senders(m), now)
+		m.bucket.Empty(now)
 		g.limited.Add(1)
 	case limited:
 		m.bucket.SetRate(m.rate.PerSecond(), now)
--- a/internal/balance/ratelimit_test.go
+++ b/internal/balance/ratelimit_test.go
@@ -362,3 +362,50 @@
 		g.Done(now, c, Report{Result: Abandoned, Load: -1, Waiting: -1})
 	}
 }
+
+// TestLimitThatEndsAndReturnsIsShared has one of two senders see the end of a limit and the next
+// one, of which the other hears only together: it still hears of each request.
+func TestLimitThatEndsAndReturnsIsShared(t *testing.T) {
+	s, _ := site(1, 8)
+	s.Upstreams = s.Upstreams[:1]
+	entries := []model.Member{{ID: "a", Region: "muscat", Domain: "muscat-a"}, {ID: "b", Region: "muscat", Domain: "muscat-a"}}
+	a, b := groupAt(s, entries, entries[0]), groupAt(s, entries, entries[1])
+	id := s.Upstreams[0].ID
+	now := t0
+	// b tells a all the while that it is there.
+	tick := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			a.HeardRates(now, "b", 1, nil)
+			b.HeardRates(now, "a", 1, nil)
+		}
+	}
+	tell := func() {
+		a.RateNews(now, NewsAll, func(n RateNews) { b.HeardRates(now, "a", 1, []RateNews{n}) })
+	}
+	send := func() {
+		if c, err := a.PickObject(now, ObjectRequest{Object: 1, Class: "c"}); err == nil {
+			a.Done(now, c, Report{Result: Abandoned, Load: -1, Waiting: -1})
+		} else {
+			t.Fatal(err)
+		}
+	}
+	name(t, a, id, 5, now)
+	tell()
+	for range 4 {
+		tick(time.Second)
+		send()
+		tell()
+	}
+	name(t, a, id, ratelimit.Unlimited, now)
+	tick(100 * time.Millisecond)
+	name(t, a, id, 4, now)
+	tell()
+	tick(2 * time.Second)
+	tell()
+	before := b.Rates(now, 1)[0].Level
+	send()
+	tell()
+	if got := b.Rates(now, 1)[0].Level; got > before-1 {
+		t.Errorf("level %v at the other sender after a request, %v before", got, before)
+	}
+}
--- a/internal/inflight/rates.go
+++ b/internal/inflight/rates.go
@@ -181,10 +181,15 @@
 	if len(news)+len(always) == 0 {
 		return
 	}
+	shared := make(map[string][]balance.RateNews)
+	for _, n := range news {
+		for _, id := range n.Senders {
+			shared[id] = append(shared[id], n)
+		}
+	}
 	for _, p := range fleet.Peers {
-		shared := slices.DeleteFunc(slices.Clone(news), func(n balance.RateNews) bool { return !slices.Contains(n.Senders, p.ID) })
-		if len(shared) > 0 || always[p.ID] {
-			x.tellRates([]Peer{p}, shared)
+		if list := shared[p.ID]; len(list) > 0 || always[p.ID] {
+			x.tellRates([]Peer{p}, list)
 		}
 	}
 }
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -53,9 +53,13 @@
 	silent bool
 }
 
-// NewBucket returns an empty Bucket without senders.
-func NewBucket(perSecond float64, now time.Time) *Bucket {
-	return &Bucket{rate: math.Max(perSecond, trickle), at: now}
+// NewBucket returns an empty Bucket without senders, at the least rate.
+func NewBucket(now time.Time) *Bucket { return &Bucket{rate: trickle, at: now} }
+
+// Empty leaves no token in the bucket.
+func (b *Bucket) Empty(now time.Time) {
+	b.advance(now)
+	b.level = math.Min(b.level, 0)
 }
 
 // SetRate changes the limit.
--- a/internal/ratelimit/bucket_test.go
+++ b/internal/ratelimit/bucket_test.go
@@ -10,7 +10,8 @@
 
 // sharing returns a bucket of one of four senders, of whom all others are heard.
 func sharing(perSecond float64) *Bucket {
-	b := NewBucket(perSecond, t0)
+	b := NewBucket(t0)
+	b.SetRate(perSecond, t0)
 	b.SetSenders("first", sharers, t0)
 	return b
 }
@@ -99,7 +100,8 @@
 }
 
 func TestNoSenderNeverSends(t *testing.T) {
-	b := NewBucket(1000, t0)
+	b := NewBucket(t0)
+	b.SetRate(1000, t0)
 	b.SetSenders("fifth", sharers, t0)
 	if b.Sender() || sends(b, 0, 5000, nil) > 0 {
 		t.Error("an entry that is no sender sends")
