Reports: one way to read hashes and numbers, and to split by hash

Cause, seen in review: reports of limits read a hash and some numbers in a loop of their own, as those of uses, failures, crashes and absent entries did, and uses were split into reports by a copy of how counts are.

Change: consumeHash, consumeVarints and splitByHash serve all of them. What is read, refused and sent is the same; counts and requests stay apart in decodeCounts, as they come in two fields.

Result: tests of internal/inflight pass unchanged, malformed and largest reports among them.

--- a/internal/inflight/claim.go
+++ b/internal/inflight/claim.go
@@ -111,18 +111,20 @@
 }
 
 func decodeCrashes(b []byte, w *poison.Claim) error {
+	var upstream uint32
+	var age [1]uint64
+	var err error
 	for len(b) > 0 {
-		upstream, n := protowire.ConsumeFixed32(b)
-		if n < 0 {
-			return errMalformed
+		if upstream, b, err = consumeHash(b); err != nil {
+			return err
+		}
+		if b, err = consumeVarints(b, age[:]); err != nil {
+			return err
 		}
-		b = b[n:]
-		age, n := protowire.ConsumeVarint(b)
-		if n < 0 || age > maxClaimTime || len(w.Crashes) == maxClaimCrashes {
+		if age[0] > maxClaimTime || len(w.Crashes) == maxClaimCrashes {
 			return errMalformed
 		}
-		b = b[n:]
-		w.Crashes = append(w.Crashes, poison.Crash{Upstream: upstream, Age: time.Duration(age) * time.Millisecond})
+		w.Crashes = append(w.Crashes, poison.Crash{Upstream: upstream, Age: time.Duration(age[0]) * time.Millisecond})
 	}
 	return nil
 }
--- a/internal/inflight/rates.go
+++ b/internal/inflight/rates.go
@@ -65,18 +65,15 @@
 
 func decodeRates(b []byte) ([]balance.RateNews, error) {
 	var out []balance.RateNews
+	var upstream uint32
+	var v [3]uint64
+	var err error
 	for len(b) > 0 {
-		upstream, n := protowire.ConsumeFixed32(b)
-		if n < 0 {
-			return nil, errMalformed
+		if upstream, b, err = consumeHash(b); err != nil {
+			return nil, err
 		}
-		b = b[n:]
-		var v [3]uint64
-		for i := range v {
-			if v[i], n = protowire.ConsumeVarint(b); n < 0 {
-				return nil, errMalformed
-			}
-			b = b[n:]
+		if b, err = consumeVarints(b, v[:]); err != nil {
+			return nil, err
 		}
 		if v[0] > maxRateUnits || v[1] > math.MaxUint32 || v[2] > math.MaxUint32 || len(out) == maxRates {
 			return nil, errMalformed
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -123,17 +123,24 @@
 // split divides a report into ones that fit a datagram. The counts are put into the
 // order of their hashes.
 func (r Report) split() []Report {
-	slices.SortFunc(r.Counts, func(a, b Count) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	counts := r.Counts
+	return splitByHash(r, r.Counts, maxCounts, func(c Count) uint32 { return c.Upstream }, func(r *Report, part []Count) { r.Counts = part })
+}
+
+// splitByHash divides a report with items into ones that have at most a number of them each,
+// and cover all hashes together. The items are put into the order of their hashes.
+func splitByHash[T any](r Report, items []T, most int, hash func(T) uint32, put func(r *Report, part []T)) []Report {
+	slices.SortFunc(items, func(a, b T) int { return cmp.Compare(hash(a), hash(b)) })
 	var out []Report
 	r.First = 0
-	for len(counts) > maxCounts {
-		r.Counts, counts = counts[:maxCounts], counts[maxCounts:]
-		r.Last = counts[0].Upstream - 1
+	for len(items) > most {
+		put(&r, items[:most])
+		items = items[most:]
+		r.Last = hash(items[0]) - 1
 		out = append(out, r)
-		r.First = counts[0].Upstream
+		r.First = hash(items[0])
 	}
-	r.Counts, r.Last = counts, allUpstreams
+	put(&r, items)
+	r.Last = allUpstreams
 	return append(out, r)
 }
 
@@ -217,12 +224,12 @@
 }
 
 func (r *Report) decodeAbsent(b []byte) error {
+	var h uint32
+	var err error
 	for len(b) > 0 {
-		h, n := protowire.ConsumeFixed32(b)
-		if n < 0 {
-			return errMalformed
+		if h, b, err = consumeHash(b); err != nil {
+			return err
 		}
-		b = b[n:]
 		r.Absent = append(r.Absent, h)
 	}
 	return nil
@@ -354,16 +361,34 @@
 	return nil
 }
 
+// consumeHash reads a hash and returns what follows it.
+func consumeHash(b []byte) (hash uint32, rest []byte, err error) {
+	hash, n := protowire.ConsumeFixed32(b)
+	if n < 0 {
+		return 0, nil, errMalformed
+	}
+	return hash, b[n:], nil
+}
+
+// consumeVarints reads as many numbers as there is room for and returns what follows them.
+func consumeVarints(b []byte, into []uint64) (rest []byte, err error) {
+	for i := range into {
+		v, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			return nil, errMalformed
+		}
+		into[i], b = v, b[n:]
+	}
+	return b, nil
+}
+
 // decodeFailures reads what appendFailures wrote.
 func (r *Report) decodeFailures(b []byte) error {
+	var v [3]uint64
+	var err error
 	for len(b) > 0 {
-		var v [3]uint64
-		for i := range v {
-			n := 0
-			if v[i], n = protowire.ConsumeVarint(b); n < 0 {
-				return errMalformed
-			}
-			b = b[n:]
+		if b, err = consumeVarints(b, v[:]); err != nil {
+			return err
 		}
 		if v[0] >= uint64(len(r.Counts)) || v[1] > maxRequests || v[2] > maxRequests {
 			return errMalformed
--- a/internal/inflight/uses.go
+++ b/internal/inflight/uses.go
@@ -1,7 +1,6 @@
 package inflight
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -53,18 +52,18 @@
 
 func decodeUses(b []byte) ([]quota.Use, error) {
 	var out []quota.Use
+	var h uint32
+	var v [2]uint64
+	var err error
 	for len(b) > 0 {
-		h, n := protowire.ConsumeFixed32(b)
-		if n < 0 {
-			return nil, errMalformed
+		if h, b, err = consumeHash(b); err != nil {
+			return nil, err
+		}
+		if b, err = consumeVarints(b, v[:]); err != nil {
+			return nil, err
 		}
-		b = b[n:]
-		var v [2]uint64
-		for i := range v {
-			if v[i], n = protowire.ConsumeVarint(b); n < 0 || v[i] > maxUse {
-				return nil, errMalformed
-			}
-			b = b[n:]
+		if v[0] > maxUse || v[1] > maxUse {
+			return nil, errMalformed
 		}
 		out = append(out, quota.Use{Organisation: h, Admitted: float64(v[0]) * usePart, Asked: float64(v[1]) * usePart})
 	}
@@ -73,17 +72,7 @@
 
 // splitUses divides the uses into reports that fit a datagram.
 func splitUses(r Report, uses []quota.Use) []Report {
-	slices.SortFunc(uses, func(a, b quota.Use) int { return cmp.Compare(a.Organisation, b.Organisation) })
-	var out []Report
-	r.First = 0
-	for len(uses) > maxUses {
-		r.Uses, uses = uses[:maxUses], uses[maxUses:]
-		r.Last = uses[0].Organisation - 1
-		out = append(out, r)
-		r.First = uses[0].Organisation
-	}
-	r.Uses, r.Last = uses, allUpstreams
-	return append(out, r)
+	return splitByHash(r, uses, maxUses, func(u quota.Use) uint32 { return u.Organisation }, func(r *Report, part []quota.Use) { r.Uses = part })
 }
 
 // tellUses tells peers the use of limits.
