The project's own field for an upstream's limit is read as the platform's is

Cause, seen in review: the native protocol read Upstream-Limit by code of its own, beside the platform's reader. It took "Inf" for the end of a limit, hexadecimal numbers for limits, and the word of answers to other requests, which may be older.

Change: forward.ReadRate reads both fields, and the native protocol asks for it where an answer is the upstream's own to this request. The platform reads as before; its tests are unchanged.

Result: TestNativeLimits failed before in four of seven cases (infinite, hexadecimal, two to another request) and passes.

--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -9,10 +9,8 @@
 	"strconv"
 	"time"
 
-	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/header"
 	"github.com/loomkeel/loomkeel/internal/model"
-	"github.com/loomkeel/loomkeel/internal/ratelimit"
 	"github.com/loomkeel/loomkeel/internal/tree"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
@@ -106,33 +104,22 @@
 	if load, err := strconv.Atoi(resp.Header.Get(header.Load)); err == nil {
 		t.Load = load
 	}
-	t.Rate = limitOf(resp.Header)
 	t.Draining = resp.Header.Get(header.State) == header.StateDraining
 	echo := resp.Header.Get(header.RequestID)
 	switch {
 	case slices.Contains(svc.NotRunStatuses, resp.StatusCode):
 		t.NotRun = ReasonShed
+		t.Rate, _, _ = ReadRate(resp, header.Limit)
 	case echo != "" && echo != ask.ID:
 		t.Broken = ReasonMismatch
 	case endsWithConnection(resp):
 		t.Broken = reasonUnframed
+	default:
+		t.Rate, _, _ = ReadRate(resp, header.Limit)
 	}
 	return t
 }
 
-// limitOf reads the limit that an upstream names; a field that is no number from 0 says nothing.
-func limitOf(h http.Header) balance.Rate {
-	field, named := h[header.Limit]
-	if !named {
-		return balance.Rate{Known: true, PerSecond: ratelimit.Unlimited}
-	}
-	v, err := strconv.ParseFloat(field[0], 64)
-	if err != nil || len(field) > 1 || math.IsNaN(v) || v < 0 {
-		return balance.Rate{}
-	}
-	return balance.Rate{Known: true, PerSecond: v}
-}
-
 // endsWithConnection reports whether an answer has no length of its own.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
--- /dev/null
+++ b/internal/forward/ratefield_test.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/header"
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/ratelimit"
+)
+
+// TestNativeLimits reads what upstreams name in the project's own field: nothing but a decimal
+// number limits or opens anything, and only in an answer that is the upstream's to this request.
+func TestNativeLimits(t *testing.T) {
+	none, unknown := balance.Rate{Known: true, PerSecond: ratelimit.Unlimited}, balance.Rate{}
+	for _, tt := range []struct {
+		name   string
+		fields []string
+		status int
+		echo   string
+		want   balance.Rate
+	}{
+		{"absent", nil, http.StatusOK, "", none},
+		{"a number", []string{"2.5"}, http.StatusOK, "r1", balance.Rate{Known: true, PerSecond: 2.5}},
+		{"refused", []string{"2.5"}, http.StatusTooManyRequests, "", balance.Rate{Known: true, PerSecond: 2.5}},
+		{"infinite", []string{"Inf"}, http.StatusOK, "", unknown},
+		{"hexadecimal", []string{"0x1p4"}, http.StatusOK, "", unknown},
+		{"to another request", []string{"2.5"}, http.StatusOK, "r2", unknown},
+		{"absent, to another request", nil, http.StatusOK, "r2", unknown},
+	} {
+		resp := &http.Response{StatusCode: tt.status, Header: http.Header{}, Request: &http.Request{Method: http.MethodGet}}
+		if tt.fields != nil {
+			resp.Header[header.Limit] = tt.fields
+		}
+		if tt.echo != "" {
+			resp.Header.Set(header.RequestID, tt.echo)
+		}
+		svc := &model.Service{NotRunStatuses: []int{http.StatusTooManyRequests}}
+		if got := (Native{}).Read(resp, &Ask{ID: "r1"}, svc).Rate; got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
