Placing: whether an upstream is settled is found once for each, and its home where the order is made

Cause, seen in review: settledFirst asked in each comparison of its sort whether the two upstreams are cold or out of their limit, and each caller of byPlace and front marked the homes itself.

Change: settledFirst finds it once for each candidate; byPlace and front mark the homes. The order is the same.

Tests unchanged.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -86,23 +86,25 @@
 	t := g.times(req.Class)
 	switch {
 	case req.Spread:
-		return g.markHome(g.byPlace(now, req), true)
+		return g.byPlace(now, req)
 	case t.huge():
-		return g.withOwnDomain(g.settledFirst(now, g.markHome(g.byPlace(now, req), false)))
+		return g.withOwnDomain(g.settledFirst(now, g.byPlace(now, req)))
 	case t.large():
-		return perDomain(g.settledFirst(now, g.markHome(g.byPlace(now, req), false)))
+		return perDomain(g.settledFirst(now, g.byPlace(now, req)))
 	}
-	ranked := g.settledFirst(now, g.markHome(g.front(now, req, replicas+maxColdAhead), false))
+	ranked := g.settledFirst(now, g.front(now, req, replicas+maxColdAhead))
 	return ranked[:min(replicas, len(ranked))]
 }
 
 // settledFirst puts the upstreams that are cold, or whose limits leave no room, after those
-// that are neither. One that has
-// just joined knows no object and is slow, and the upstreams after it still have at hand
-// what it would take over. Placed first, upstreams that join have requests refused while most
-// slots are free, since most entries may not send to cold ones.
+// that are neither. One that has just joined knows no object and is slow, and the upstreams
+// after it still have at hand what it would take over. Placed first, upstreams that join have
+// requests refused while most slots are free, since most entries may not send to cold ones.
 func (g *Group) settledFirst(now time.Time, cs []candidate) []candidate {
-	slices.SortStableFunc(cs, func(a, b candidate) int { return compareBool(g.unsettled(a, now), g.unsettled(b, now)) })
+	for i := range cs {
+		cs[i].unsettled = g.unsettled(cs[i], now)
+	}
+	slices.SortStableFunc(cs, func(a, b candidate) int { return compareBool(a.unsettled, b.unsettled) })
 	return cs
 }
 
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -16,6 +16,8 @@
 	place float64
 	// spills is set if the request belongs to another upstream, or comes from another region.
 	spills bool
+	// unsettled is set by settledFirst.
+	unsettled bool
 }
 
 // scratch holds the memory of the lists that each pick makes anew.
@@ -26,7 +28,7 @@
 func (g *Group) byPlace(now time.Time, req ObjectRequest) []candidate {
 	all := g.candidatesOf(now, req)
 	slices.SortFunc(all, byPlaceOrder)
-	return all
+	return g.markHome(all, req.Spread)
 }
 
 // front returns the first n usable upstreams in the object's order. It selects rather than
@@ -47,7 +49,7 @@
 		}
 		all[j] = c
 	}
-	return all[:n]
+	return g.markHome(all[:n], req.Spread)
 }
 
 func byPlaceOrder(a, b candidate) int { return cmp.Compare(a.place, b.place) }
