Simulations in virtual time share one agenda

Cause, seen in review: the plays of placing, of organisations' limits and of upstreams' limits each had a heap of events of their own, alike to the letter.

Change: package agenda holds the events; the three use it.

--- a/internal/balance/ratelimit_fleet_test.go
+++ b/internal/balance/ratelimit_fleet_test.go
@@ -1,12 +1,12 @@
 package balance
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/agenda"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/ratelimit"
 )
@@ -31,27 +31,6 @@
 	fleetDirect = 25
 )
 
-type fleetEvent struct {
-	at time.Time
-	n  int
-	do func()
-}
-
-type fleetEvents []fleetEvent
-
-func (e fleetEvents) Len() int { return len(e) }
-func (e fleetEvents) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].n < e[j].n
-}
-func (e fleetEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *fleetEvents) Push(x any)   { *e = append(*e, x.(fleetEvent)) }
-func (e *fleetEvents) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // limitedEntry is one entry of a fleet.
 type limitedEntry struct {
 	model.Member
@@ -72,9 +51,7 @@
 // limitFleet is a fleet of entries and upstreams of one service.
 type limitFleet struct {
 	rnd     *rand.Rand
-	now     time.Time
-	queue   fleetEvents
-	n       int
+	agenda  *agenda.Agenda
 	entries []*limitedEntry
 	service *model.Service
 	// limitOf is the limit that an upstream names at a time.
@@ -97,7 +74,7 @@
 // domains of three regions.
 func newLimitFleet(seed uint64, entries, upstreams int) *limitFleet {
 	f := &limitFleet{
-		rnd: rand.New(rand.NewPCG(seed, 3)), now: t0, arrivals: make(map[string][]time.Duration),
+		rnd: rand.New(rand.NewPCG(seed, 3)), agenda: agenda.New(t0), arrivals: make(map[string][]time.Duration),
 		service: &model.Service{Name: "s", Routed: true}, work: 150 * time.Millisecond, objects: 40 * upstreams,
 	}
 	place := func(i int) (region, domain string) {
@@ -122,27 +99,18 @@
 	return f
 }
 
-func (f *limitFleet) after(d time.Duration, do func()) {
-	f.n++
-	heap.Push(&f.queue, fleetEvent{f.now.Add(d), f.n, do})
-}
+func (f *limitFleet) after(d time.Duration, do func()) { f.agenda.After(d, do) }
 
 // at schedules something at a time since the beginning.
-func (f *limitFleet) at(d time.Duration, do func()) { f.after(t0.Add(d).Sub(f.now), do) }
+func (f *limitFleet) at(d time.Duration, do func()) { f.agenda.At(t0.Add(d), do) }
 
-func (f *limitFleet) since() time.Duration { return f.now.Sub(t0) }
+func (f *limitFleet) since() time.Duration { return f.agenda.Now().Sub(t0) }
 
-func (f *limitFleet) run(until time.Duration) {
-	for len(f.queue) > 0 && f.queue[0].at.Sub(t0) <= until {
-		e := heap.Pop(&f.queue).(fleetEvent)
-		f.now = e.at
-		e.do()
-	}
-}
+func (f *limitFleet) run(until time.Duration) { f.agenda.RunUntil(t0.Add(until)) }
 
 // start begins a life of an entry, which knows nothing of limits.
 func (f *limitFleet) start(e *limitedEntry) {
-	e.life = uint64(f.now.UnixMilli())
+	e.life = uint64(f.agenda.Now().UnixMilli())
 	e.dead, e.frozen, e.urgent = false, time.Time{}, false
 	e.group = NewGroup()
 	life := e.life
@@ -183,7 +151,7 @@
 			members = append(members, o.Member)
 		}
 	}
-	e.group.Update(Input{Service: f.service, Draining: never, Self: e.ID, Home: e.Region, Domain: e.Domain, Entries: members}, f.now)
+	e.group.Update(Input{Service: f.service, Draining: never, Self: e.ID, Home: e.Region, Domain: e.Domain, Entries: members}, f.agenda.Now())
 }
 
 // membersChanged has all entries that are not cut off from the store learn the members.
@@ -204,8 +172,8 @@
 func (f *limitFleet) whenAwake(e *limitedEntry, life uint64, do func()) {
 	switch {
 	case e.dead || e.life != life:
-	case f.now.Before(e.frozen):
-		f.after(e.frozen.Sub(f.now), func() { f.whenAwake(e, life, do) })
+	case f.agenda.Now().Before(e.frozen):
+		f.after(e.frozen.Sub(f.agenda.Now()), func() { f.whenAwake(e, life, do) })
 	default:
 		do()
 	}
@@ -228,7 +196,7 @@
 	f.membersChanged()
 }
 
-func (f *limitFleet) freeze(e *limitedEntry, d time.Duration) { e.frozen = f.now.Add(d) }
+func (f *limitFleet) freeze(e *limitedEntry, d time.Duration) { e.frozen = f.agenda.Now().Add(d) }
 
 // delay is the one-way time between two regions.
 func delay(a, b string) time.Duration {
@@ -245,7 +213,7 @@
 	}
 	life, fromLife := to.life, from.life
 	f.after(delay(from.Region, to.Region), func() {
-		f.whenAwake(to, life, func() { to.group.HeardRates(f.now, from.ID, fromLife, news) })
+		f.whenAwake(to, life, func() { to.group.HeardRates(f.agenda.Now(), from.ID, fromLife, news) })
 	})
 }
 
@@ -254,14 +222,14 @@
 	news := f.news(e, NewsUntold)
 	f.tellSenders(e, news, nil)
 	changed := slices.DeleteFunc(news, func(n RateNews) bool { return !n.Changed })
-	if len(changed) > 0 && f.now.Sub(e.changesTold) >= fleetChanges {
-		e.changesTold = f.now
+	if len(changed) > 0 && f.agenda.Now().Sub(e.changesTold) >= fleetChanges {
+		e.changesTold = f.agenda.Now()
 		f.tellListeners(e, changed)
 	}
 }
 
 func (f *limitFleet) news(e *limitedEntry, scope NewsScope) (out []RateNews) {
-	e.group.RateNews(f.now, scope, func(n RateNews) { out = append(out, n) })
+	e.group.RateNews(f.agenda.Now(), scope, func(n RateNews) { out = append(out, n) })
 	return out
 }
 
@@ -288,7 +256,7 @@
 		return
 	}
 	f.after(fleetTell, func() { f.periodic(e, life) })
-	if f.now.Before(e.frozen) {
+	if f.agenda.Now().Before(e.frozen) {
 		return
 	}
 	scope := NewsRecent
@@ -343,13 +311,13 @@
 	f.after(time.Duration(f.rnd.ExpFloat64()/rate*float64(time.Second)), f.arrive)
 	total := 0.0
 	for _, e := range f.entries {
-		if !e.dead && !f.now.Before(e.frozen) {
+		if !e.dead && !f.agenda.Now().Before(e.frozen) {
 			total += f.weight(e)
 		}
 	}
 	x := f.rnd.Float64() * total
 	for _, e := range f.entries {
-		if e.dead || f.now.Before(e.frozen) {
+		if e.dead || f.agenda.Now().Before(e.frozen) {
 			continue
 		}
 		if x -= f.weight(e); x < 0 {
@@ -362,7 +330,7 @@
 func (f *limitFleet) request(e *limitedEntry) {
 	f.asked++
 	g, life := e.group, e.life
-	c, err := g.PickObject(f.now, ObjectRequest{
+	c, err := g.PickObject(f.agenda.Now(), ObjectRequest{
 		Object: HashObject("c", fmt.Sprint(f.rnd.IntN(f.objects), e.Region)), Class: "c", Objective: 10 * time.Second,
 	})
 	if err != nil {
@@ -376,8 +344,8 @@
 		rate := Rate{Known: true, PerSecond: f.limitOf(c.ID, f.since())}
 		f.after(way, func() {
 			f.whenAwake(e, life, func() {
-				g.NoteRate(f.now, c, rate)
-				g.Done(f.now, c, Report{Result: OK, Load: -1, Waiting: -1})
+				g.NoteRate(f.agenda.Now(), c, rate)
+				g.Done(f.agenda.Now(), c, Report{Result: OK, Load: -1, Waiting: -1})
 			})
 		})
 	})
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -1,13 +1,13 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/agenda"
 	"github.com/loomkeel/loomkeel/internal/model"
 )
 
@@ -27,30 +27,6 @@
 	testSlack  = 20.0
 )
 
-type event struct {
-	at time.Time
-	n  int
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].n < e[j].n
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // simNode is one entry. Only carriers get requests.
 type simNode struct {
 	id      int
@@ -68,9 +44,7 @@
 // simFleet is a fleet of one organisation with a limit.
 type simFleet struct {
 	rnd     *rand.Rand
-	now     time.Time
-	queue   events
-	n       int
+	agenda  *agenda.Agenda
 	nodes   []*simNode
 	domains int
 	perDom  int
@@ -94,7 +68,7 @@
 
 // newSimFleet returns a fleet of n nodes in six failure domains, with two carriers in each.
 func newSimFleet(seed uint64, n int, limit model.Limit) *simFleet {
-	f := &simFleet{rnd: rand.New(rand.NewPCG(seed, 7)), now: t0, domains: simDomains, perDom: n / simDomains, limit: limit}
+	f := &simFleet{rnd: rand.New(rand.NewPCG(seed, 7)), agenda: agenda.New(t0), domains: simDomains, perDom: n / simDomains, limit: limit}
 	f.table = tableOf(limit)
 	for i := range f.domains * f.perDom {
 		node := &simNode{id: i, name: "n" + strconv.Itoa(i), domain: i % f.domains}
@@ -117,23 +91,14 @@
 	return table
 }
 
-func (f *simFleet) after(d time.Duration, do func()) {
-	f.n++
-	heap.Push(&f.queue, event{f.now.Add(d), f.n, do})
-}
+func (f *simFleet) after(d time.Duration, do func()) { f.agenda.After(d, do) }
 
 // at schedules something at a time since t0.
-func (f *simFleet) at(d time.Duration, do func()) { f.after(t0.Add(d).Sub(f.now), do) }
+func (f *simFleet) at(d time.Duration, do func()) { f.agenda.At(t0.Add(d), do) }
 
-func (f *simFleet) since() time.Duration { return f.now.Sub(t0) }
+func (f *simFleet) since() time.Duration { return f.agenda.Now().Sub(t0) }
 
-func (f *simFleet) run(until time.Duration) {
-	for len(f.queue) > 0 && f.queue[0].at.Sub(t0) <= until {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
-	}
-}
+func (f *simFleet) run(until time.Duration) { f.agenda.RunUntil(t0.Add(until)) }
 
 func (f *simFleet) carries(n *simNode) bool { return n.id/f.domains < simCarriers }
 
@@ -145,7 +110,7 @@
 	n.dead = false
 	n.limiter = NewLimiter()
 	f.expect(n)
-	n.limiter.Update(f.table, testSlack, n.clock(f.now))
+	n.limiter.Update(f.table, testSlack, n.clock(f.agenda.Now()))
 	life := n.life
 	var report func()
 	report = func() {
@@ -187,7 +152,7 @@
 	}
 	self := f.weigh(n)
 	if f.hub(n.domain, n) != n {
-		n.limiter.Expect(self, []Source{{Name: "*", Weight: f.domains*domain - self, Whole: true}}, n.clock(f.now))
+		n.limiter.Expect(self, []Source{{Name: "*", Weight: f.domains*domain - self, Whole: true}}, n.clock(f.agenda.Now()))
 		return
 	}
 	list := []Source{{Name: "peers", Weight: domain - self}}
@@ -196,12 +161,12 @@
 			list = append(list, Source{Name: "*" + strconv.Itoa(d), Weight: domain})
 		}
 	}
-	n.limiter.Expect(self, list, n.clock(f.now))
+	n.limiter.Expect(self, list, n.clock(f.agenda.Now()))
 }
 
 // period is the time until a node's next report. One that has few requests reports seldom.
 func (f *simFleet) period(n *simNode) time.Duration {
-	if f.carries(n) || f.hub(n.domain, n) == n || n.limiter.InUse(n.clock(f.now)) {
+	if f.carries(n) || f.hub(n.domain, n) == n || n.limiter.InUse(n.clock(f.agenda.Now())) {
 		return reportEvery
 	}
 	return idleEvery
@@ -222,7 +187,7 @@
 	}
 	for i := range f.perDom {
 		p := f.nodes[i*f.domains+n.domain]
-		if p != n && !p.dead && (f.carries(p) || p.limiter.InUse(p.clock(f.now))) {
+		if p != n && !p.dead && (f.carries(p) || p.limiter.InUse(p.clock(f.agenda.Now()))) {
 			f.tell(n, p, "*", func(s string) bool { return s != p.name })
 		}
 	}
@@ -238,7 +203,7 @@
 }
 
 func (f *simFleet) tell(from, to *simNode, source string, whose func(string) bool) {
-	now := from.clock(f.now)
+	now := from.clock(f.agenda.Now())
 	uses, covered := from.limiter.Uses(true, whose, now), f.weigh(from)+from.limiter.Covered(whose, now)
 	if f.rnd.Float64() < lost || from.island != to.island {
 		return
@@ -251,7 +216,7 @@
 	}
 	f.after(delay, func() {
 		if !to.dead && to.island == from.island {
-			to.limiter.Heard(Told{Speaker: from.name, Source: source, Covered: covered, Idle: idle, Last: 1<<32 - 1, Uses: uses}, to.clock(f.now))
+			to.limiter.Heard(Told{Speaker: from.name, Source: source, Covered: covered, Idle: idle, Last: 1<<32 - 1, Uses: uses}, to.clock(f.agenda.Now()))
 		}
 	})
 }
@@ -282,7 +247,7 @@
 		if x -= f.weight(n, at); x >= 0 {
 			continue
 		}
-		if ok, _ := n.limiter.Take("o", n.clock(f.now)); ok {
+		if ok, _ := n.limiter.Take("o", n.clock(f.agenda.Now())); ok {
 			f.admitted = append(f.admitted, at)
 		} else {
 			f.refused = append(f.refused, at)
--- a/internal/sim/loomkeel.go
+++ b/internal/sim/loomkeel.go
@@ -48,7 +48,7 @@
 		}
 		l.groups = append(l.groups, groups)
 	}
-	l.update(p.now)
+	l.update(p.agenda.Now())
 	return l
 }
 
@@ -73,14 +73,14 @@
 
 func (l *loomkeel) tellRates(from, service int, scope balance.NewsScope) {
 	var news []balance.RateNews
-	l.groups[from][service].RateNews(l.play.now, scope, func(n balance.RateNews) { news = append(news, n) })
+	l.groups[from][service].RateNews(l.play.agenda.Now(), scope, func(n balance.RateNews) { news = append(news, n) })
 	if len(news) == 0 {
 		return
 	}
 	for to := range l.groups {
 		if to != from {
 			l.play.after(l.way(from, to), func() {
-				l.groups[to][service].HeardRates(l.play.now, l.members[from].ID, 1, news)
+				l.groups[to][service].HeardRates(l.play.agenda.Now(), l.members[from].ID, 1, news)
 			})
 		}
 	}
@@ -176,6 +176,6 @@
 		if to == from || !near && l.ticks%2 == 0 {
 			continue
 		}
-		l.play.after(l.way(from, to), func() { l.groups[to][service].Heard(l.play.now, load) })
+		l.play.after(l.way(from, to), func() { l.groups[to][service].Heard(l.play.agenda.Now(), load) })
 	}
 }
--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -1,12 +1,12 @@
 package sim
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/agenda"
 	"github.com/loomkeel/loomkeel/internal/ratelimit"
 )
 
@@ -87,35 +87,12 @@
 	ended bool
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
-	e := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return e
-}
-
 // Play is one play of a site. It is not safe for concurrent use.
 type Play struct {
 	site      *Site
 	policy    Policy
 	rnd       *rand.Rand
-	now       time.Time
-	agenda    agenda
-	seq       int
+	agenda    *agenda.Agenda
 	upstreams []*upstream
 	entries   []entry
 	// regionOf is the index of a region, entriesOf the indexes of its entries.
@@ -141,7 +118,7 @@
 // New returns a play of a site under the policy that newPolicy returns.
 func New(site *Site, seed uint64, newPolicy func(*Play) Policy) *Play {
 	p := &Play{
-		site: site, rnd: rand.New(rand.NewPCG(seed, 1)), now: epoch, burst: 1,
+		site: site, rnd: rand.New(rand.NewPCG(seed, 1)), agenda: agenda.New(epoch), burst: 1,
 		regionOf: make(map[string]int), result: newResult(site),
 	}
 	p.addEntries()
@@ -206,25 +183,18 @@
 		p.plan(e)
 	}
 	p.tick()
-	for len(p.agenda) > 0 {
-		e := heap.Pop(&p.agenda).(event)
-		p.now = e.at
-		e.do()
-	}
+	p.agenda.Run()
 	return p.result
 }
 
-func (p *Play) at(t time.Time, do func()) {
-	p.seq++
-	heap.Push(&p.agenda, event{t, p.seq, do})
-}
+func (p *Play) at(t time.Time, do func()) { p.agenda.At(t, do) }
 
-func (p *Play) after(d time.Duration, do func()) { p.at(p.now.Add(d), do) }
+func (p *Play) after(d time.Duration, do func()) { p.agenda.After(d, do) }
 
-func (p *Play) over() bool { return p.now.Sub(epoch) >= p.site.Length }
+func (p *Play) over() bool { return p.agenda.Now().Sub(epoch) >= p.site.Length }
 
 func (p *Play) tick() {
-	p.policy.Tick(p.now)
+	p.policy.Tick(p.agenda.Now())
 	if !p.over() {
 		p.after(tickEvery, p.tick)
 	}
@@ -250,7 +220,7 @@
 	if p.site.Wave == 0 {
 		return 1
 	}
-	phase := p.now.Sub(epoch).Seconds()/p.site.Period.Seconds() + float64(region)/float64(len(p.entriesOf))
+	phase := p.agenda.Now().Sub(epoch).Seconds()/p.site.Period.Seconds() + float64(region)/float64(len(p.entriesOf))
 	return 1 + p.site.Wave*math.Sin(2*math.Pi*phase)
 }
 
@@ -258,11 +228,11 @@
 	object := drawObject(p.popularity[class], rnd.Float64())
 	spread := math.Max(-cutSpread, math.Min(cutSpread, rnd.NormFloat64())) * c.Spread
 	r := &Request{
-		Class: class, Region: region, first: p.now, deadline: p.now.Add(c.Deadline),
+		Class: class, Region: region, first: p.agenda.Now(), deadline: p.agenda.Now().Add(c.Deadline),
 		Object: uint64(class)<<40 | uint64(region)<<32 | uint64(object),
 		cold:   time.Duration(float64(c.Work) * math.Exp(spread-c.Spread*c.Spread/2)),
 	}
-	p.result.asked(class, p.now)
+	p.result.asked(class, p.agenda.Now())
 	p.send(r, rnd)
 }
 
@@ -280,13 +250,13 @@
 	near := p.entriesOf[r.Region]
 	r.entry = near[rnd.IntN(len(near))]
 	p.after(p.site.Client, func() {
-		r.timeout = p.now.Add(min(p.site.Classes[r.Class].Timeout, r.deadline.Sub(p.now)))
+		r.timeout = p.agenda.Now().Add(min(p.site.Classes[r.Class].Timeout, r.deadline.Sub(p.agenda.Now())))
 		p.decide(r)
 	})
 }
 
 func (p *Play) decide(r *Request) {
-	d := p.policy.Pick(p.now, r.entry, r)
+	d := p.policy.Pick(p.agenda.Now(), r.entry, r)
 	if d.Upstream < 0 {
 		p.refuse(r, d.RetryAfter)
 		return
@@ -312,7 +282,7 @@
 // refuse sends a caller away, who comes back once.
 func (p *Play) refuse(r *Request, retryAfter time.Duration) {
 	p.after(p.site.Client, func() {
-		left := r.deadline.Sub(p.now)
+		left := r.deadline.Sub(p.agenda.Now())
 		if r.again || left <= 0 {
 			p.result.refused(r)
 			return
@@ -326,7 +296,7 @@
 // reach brings an attempt to its upstream.
 func (p *Play) reach(a *attempt) {
 	u := p.upstreams[a.upstream]
-	u.arrive(p.now)
+	u.arrive(p.agenda.Now())
 	if u.sheds > 0 && p.rnd.Float64() < u.sheds || u.running >= u.slots && len(u.queue) >= u.limit {
 		p.after(p.way(a), func() { p.shed(a) })
 		return
@@ -367,8 +337,8 @@
 		return
 	}
 	a.ended, a.over = true, true
-	p.policy.Done(p.now, a.entry, a.Request, end)
-	p.after(p.site.Client, func() { p.result.served(a.Request, p.now) })
+	p.policy.Done(p.agenda.Now(), a.entry, a.Request, end)
+	p.after(p.site.Client, func() { p.result.served(a.Request, p.agenda.Now()) })
 }
 
 func (p *Play) shed(a *attempt) {
@@ -377,7 +347,7 @@
 	}
 	a.ended = true
 	u := p.upstreams[a.upstream]
-	p.policy.Done(p.now, a.entry, a.Request, End{Token: a.token, Shed: true, Load: u.load(), Waiting: len(u.queue), PerSecond: u.perSecond})
+	p.policy.Done(p.agenda.Now(), a.entry, a.Request, End{Token: a.token, Shed: true, Load: u.load(), Waiting: len(u.queue), PerSecond: u.perSecond})
 	a.Tried = append(a.Tried, a.upstream)
 	if a.attempts >= maxAttempts {
 		a.over = true
@@ -393,7 +363,7 @@
 		return
 	}
 	a.ended, a.over = true, true
-	p.policy.Done(p.now, a.entry, a.Request, End{Token: a.token, TimedOut: true, Load: -1, Waiting: -1})
+	p.policy.Done(p.agenda.Now(), a.entry, a.Request, End{Token: a.token, TimedOut: true, Load: -1, Waiting: -1})
 	p.result.failed(a.Request)
 }
 
