Limits are told to the resolution that they are rounded to

Cause, seen in review: reports had a constant of their own, which had to equal the one by which package ratelimit rounds limits, or entries would take each other's word for a change.

Change: reports use ratelimit.Resolution. Result: tests of both packages pass unchanged.

--- a/internal/inflight/rates.go
+++ b/internal/inflight/rates.go
@@ -19,9 +19,7 @@
 	// maxRates bounds the upstreams of one report, so that it fits a datagram; one takes up to
 	// 16 bytes.
 	maxRates = 75
-	// rateUnit is the part of a request per second that is told, and maxRateUnits bounds what
-	// is believed of a limit.
-	rateUnit     = 0.001
+	// maxRateUnits bounds what is believed of a limit, in units of ratelimit.Resolution.
 	maxRateUnits = 1 << 50
 	// ratesPeriods is after how many near periods senders tell each other that they are there,
 	// and allRatesPeriods after how many all limits are told.
@@ -53,7 +51,7 @@
 	for _, n := range rates[:min(len(rates), maxRates)] {
 		units := uint64(0)
 		if n.PerSecond < ratelimit.Unlimited {
-			units = 1 + uint64(math.Round(n.PerSecond/rateUnit))
+			units = 1 + uint64(math.Round(n.PerSecond/ratelimit.Resolution))
 		}
 		b = protowire.AppendFixed32(b, n.Upstream)
 		b = protowire.AppendVarint(b, units)
@@ -80,7 +78,7 @@
 		}
 		r := balance.RateNews{Upstream: upstream, PerSecond: ratelimit.Unlimited, Version: uint32(v[1]), Sent: uint32(v[2])}
 		if v[0] > 0 {
-			r.PerSecond = ratelimit.Round(float64(v[0]-1) * rateUnit)
+			r.PerSecond = ratelimit.Round(float64(v[0]-1) * ratelimit.Resolution)
 		}
 		out = append(out, r)
 	}
--- a/internal/ratelimit/register.go
+++ b/internal/ratelimit/register.go
@@ -8,8 +8,8 @@
 // Unlimited is the rate of an upstream that names no limit.
 var Unlimited = math.Inf(1)
 
-// resolution is the part of a request per second to which limits are told.
-const resolution = 0.001
+// Resolution is the part of a request per second to which limits are told.
+const Resolution = 0.001
 
 // maxPerSecond is the highest limit that is told apart from none.
 const maxPerSecond = 1e9
@@ -19,7 +19,7 @@
 	if perSecond > maxPerSecond {
 		return Unlimited
 	}
-	return math.Round(perSecond/resolution) / (1 / resolution)
+	return math.Round(perSecond/Resolution) / (1 / Resolution)
 }
 
 // Register is what an entry knows of an upstream's limit. Entries agree on the value with the
