reach: an entry counts when upstreams last answered it, and peers say whether they were answered

Cause: no line or metric told an entry that is cut off from all upstreams from one whose health state outlives a short break: each attempt was logged by itself, and what other entries get from the same upstreams was not known at an entry. Change: package reach collects answers and failures of attempts and reports by peers that they are answered (one more field of the reports), and decides whether the entry is isolated; lines at begin and end with the evidence, 'reach' in metrics and dump. Nothing acts on it yet.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -145,6 +145,7 @@
 	go feed.Run(runCtx)
 	go n.RunExpiry(runCtx)
 	go exchange.Run(runCtx)
+	go n.Entry.Proxy.RunReachChecks(runCtx)
 	go rollouts.Run(runCtx)
 	go func() {
 		<-feed.Ready()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -70,10 +70,14 @@
 		sending = withNonIdempotent(sending)
 	}
 	out := p.newRequest(sending, r, cl, to, body)
+	sent := p.now()
 	resp, err := p.transport.RoundTrip(out)
 	if err != nil {
-		return nil, sendError(ctx, cl, &writes, err)
+		verr := sendError(ctx, cl, &writes, err)
+		p.recordReach(&to.Upstream, sent, verr)
+		return nil, verr
 	}
+	p.recordReach(&to.Upstream, sent, nil)
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
 	p.recordUpstreamLimit(cl, to, info.UpstreamLimit)
 	if info.NotRunReason != "" {
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
+	"github.com/loomkeel/loomkeel/internal/reach"
 	"github.com/loomkeel/loomkeel/internal/rollout"
 	"github.com/loomkeel/loomkeel/internal/share"
 	"github.com/loomkeel/loomkeel/internal/shift"
@@ -118,6 +119,9 @@
 	poison             *poison.Tracker
 	organisationLimits *quota.Limiter
 	deadlines          *deadlineSet
+	reach              *reach.Detector
+	// reachFailed receives a value after an attempt found no connection or broke.
+	reachFailed chan struct{}
 	// urgentLimitUpdates receives a value when limit updates should be sent to other
 	// entries without delay.
 	urgentLimitUpdates chan struct{}
@@ -149,7 +153,7 @@
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	p := &Proxy{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, services: make(map[string]*serviceState), splits: newSplits(), buffers: buffers{limit: opt.MaxBuffered}, rollouts: rollout.NewTracker(), poison: poison.NewTracker(opt.Self), organisationLimits: quota.NewLimiter(), deadlines: newDeadlineSet(), urgentLimitUpdates: make(chan struct{}, 1),
+	p := &Proxy{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, services: make(map[string]*serviceState), splits: newSplits(), buffers: buffers{limit: opt.MaxBuffered}, rollouts: rollout.NewTracker(), poison: poison.NewTracker(opt.Self), organisationLimits: quota.NewLimiter(), deadlines: newDeadlineSet(), reach: reach.NewDetector(), reachFailed: make(chan struct{}, 1), urgentLimitUpdates: make(chan struct{}, 1),
 		upstreamLimitLog: logs.NewLimiter(upstreamLimitLogsPerSecond, upstreamLimitLogBurst)}
 	if opt.TLS != nil {
 		p.scheme = "https"
@@ -179,6 +183,7 @@
 		}
 		state.queue.Wake()
 	}
+	p.reach.SetKnown(knownUpstreams(s))
 	p.rollouts.SetTraffic(trafficOf(s))
 	p.organisationLimits.Update(s.Organisations, s.LimitSlack, now)
 	p.snap.Store(s)
--- /dev/null
+++ b/internal/forward/reach.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/reach"
+	"github.com/loomkeel/loomkeel/internal/verdict"
+)
+
+// reachCheckInterval is the time between evaluations of whether the entry is isolated, as long as
+// attempts fail without an answer.
+const reachCheckInterval = 100 * time.Millisecond
+
+// recordReach records what an attempt, sent at sent, shows about whether this entry reaches the
+// upstreams. Attempts that ended for other reasons than a failed connection show nothing. A timeout
+// does not either: the upstream may be slow.
+func (p *Proxy) recordReach(to *model.Upstream, sent time.Time, err *verdict.Error) {
+	u := reach.Upstream{ID: to.ID, Domain: to.Domain}
+	switch {
+	case err == nil:
+		p.reach.RecordAnswer(p.now(), u, sent)
+	case err.Reason == reasonUnreachable || err.Reason == reasonBroken:
+		p.reach.RecordFailure(p.now(), u, sent)
+		select {
+		case p.reachFailed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// RunReachChecks evaluates whether the entry is isolated while attempts fail, until ctx ends.
+func (p *Proxy) RunReachChecks(ctx context.Context) {
+	for {
+		select {
+		case <-p.reachFailed:
+			p.checkReach(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// checkReach evaluates until upstreams answer again or ctx ends.
+func (p *Proxy) checkReach(ctx context.Context) {
+	tick := time.NewTicker(reachCheckInterval)
+	defer tick.Stop()
+	for p.reach.Failing() || p.reach.Isolated() {
+		select {
+		case <-tick.C:
+			p.evaluateReach()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// evaluateReach decides whether the entry is isolated, and logs a change with its evidence.
+func (p *Proxy) evaluateReach() {
+	before := p.ReachStatus()
+	isolated, changed := p.reach.Evaluate(p.now())
+	if !changed {
+		return
+	}
+	if isolated {
+		klog.InfoS("isolated: no upstream answers this entry, but upstreams answer others", "failing_upstreams", before.FailingUpstreams,
+			"failing_domains", before.FailingDomains, "last_answer_ms", before.LastAnswerMillis, "peers_answered", before.PeersAnswered)
+		return
+	}
+	klog.InfoS("isolation ended", "took_ms", before.IsolatedMillis, "last_answer_ms", before.LastAnswerMillis, "peers_answered", before.PeersAnswered)
+}
+
+// Reach returns the detector of whether the entry is isolated.
+func (p *Proxy) Reach() *reach.Detector { return p.reach }
+
+// ReachStatus returns the evidence of whether the entry is isolated.
+func (p *Proxy) ReachStatus() reach.Status { return p.reach.Status(p.now()) }
+
+// knownUpstreams counts the upstreams of a snapshot and their failure domains.
+func knownUpstreams(s *model.Snapshot) reach.Known {
+	domains := make(map[string]bool)
+	n := 0
+	for _, svc := range s.Services {
+		n += len(svc.Upstreams)
+		for i := range svc.Upstreams {
+			domains[svc.Upstreams[i].Domain] = true
+		}
+	}
+	return reach.Known{Upstreams: n, Domains: len(domains)}
+}
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -46,6 +46,9 @@
 	Fleet func() Fleet
 	// Counts returns the requests in flight to report.
 	Counts func(balance.EntryFilter) []Count
+	// Answered reports whether upstreams have recently answered one of the entries that the filter
+	// selects; nil means that it is not reported.
+	Answered func(balance.EntryFilter) bool
 	// MaxConnIdle returns the values of Report.MaxConnIdle and Report.MaxConnIdleLeft.
 	MaxConnIdle func() (idle, left time.Duration)
 	// Claims returns up to n Claims to report about requests that crashed upstreams; nil
@@ -129,6 +132,9 @@
 	if opt.Claims == nil {
 		opt.Claims = func(int, bool) []poison.Claim { return nil }
 	}
+	if opt.Answered == nil {
+		opt.Answered = func(balance.EntryFilter) bool { return false }
+	}
 	if opt.Busy == nil {
 		opt.Busy = func() bool { return true }
 	}
@@ -269,6 +275,7 @@
 		// busy gets all counts within one period.
 		x.idleSentAt = now
 		toReporters.Absent = x.idleAbsent.part(absent)
+		toReporters.Answered = x.opt.Answered(balance.EntryFilter{Own: true, Peers: func(peer string) bool { return peer != allOthers }})
 		x.sendReport(idle, toReporters, balance.EntryFilter{})
 	}
 	x.sendPeriodicLimitUpdates(fleet, limitPeersByHubs(x.opt.Entry, hub, busy, idle, remote))
@@ -302,6 +309,7 @@
 	template.Entry, template.Incarnation, template.Sequence = x.opt.Entry, x.opt.Incarnation, x.seq
 	template.Counts = x.opt.Counts(filter)
 	template.Leaving = x.opt.Leaving()
+	template.Answered = template.Answered || x.opt.Answered(filter)
 	template.MaxConnIdle, template.MaxConnIdleLeft = x.opt.MaxConnIdle()
 	for _, r := range template.split() {
 		x.write(&r, due)
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -62,6 +62,8 @@
 	MaxConnIdle, MaxConnIdleLeft time.Duration
 	// Leaving is set while the sender is stopping.
 	Leaving bool
+	// Answered is set if upstreams have recently answered one of the entries that Scope selects.
+	Answered bool
 	// Idle is set while the sender has had few requests for a while. Hubs send reports less
 	// often to idle entries.
 	Idle bool
@@ -114,6 +116,7 @@
 	fieldLimitUpdates    = 20
 	fieldRolloutScope    = 21
 	fieldRollouts        = 22
+	fieldAnswered        = 23
 )
 
 const (
@@ -182,6 +185,10 @@
 		b = protowire.AppendTag(b, fieldLeaving, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
 	}
+	if r.Answered {
+		b = protowire.AppendTag(b, fieldAnswered, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
+	}
 	if r.Idle {
 		b = protowire.AppendTag(b, fieldIdle, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
--- a/internal/inflight/report_test.go
+++ b/internal/inflight/report_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestReportRoundTrip(t *testing.T) {
-	want := &Report{Entry: "edge-1", Scope: ScopeOthers, First: 1, Last: 1 << 31, Incarnation: 7, Sequence: 9, Leaving: true, Idle: true, Absent: []uint32{7, 1 << 31}, MaxConnIdle: 150 * time.Millisecond, MaxConnIdleLeft: 4 * time.Second, Counts: []Count{{0xfedcba98, 3, 0, 0}, {1, 400, 2.5, 7}}}
+	want := &Report{Entry: "edge-1", Scope: ScopeOthers, First: 1, Last: 1 << 31, Incarnation: 7, Sequence: 9, Leaving: true, Answered: true, Idle: true, Absent: []uint32{7, 1 << 31}, MaxConnIdle: 150 * time.Millisecond, MaxConnIdleLeft: 4 * time.Second, Counts: []Count{{0xfedcba98, 3, 0, 0}, {1, 400, 2.5, 7}}}
 	got, err := Decode(want.Append(nil))
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v", got, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
+	"github.com/loomkeel/loomkeel/internal/reach"
 	"github.com/loomkeel/loomkeel/internal/relay"
 	"github.com/loomkeel/loomkeel/internal/view"
 )
@@ -248,6 +249,8 @@
 	InFlight  int            `json:"in_flight"`
 	// Poison holds the numbers of known requests that crashed upstreams.
 	Poison poison.Status `json:"poison"`
+	// Reach is the evidence of whether the node reaches the upstreams.
+	Reach reach.Status `json:"reach"`
 	// Store is the state of the platform's key-value store as the node observes it.
 	Store view.StoreStatus `json:"service"`
 }
@@ -258,6 +261,7 @@
 		Ready: n.Ready(), Stopping: n.stopping.Load(), Members: len(*n.members.Load()), InFlight: n.Entry.Proxy.InFlight(),
 	}
 	s.Poison = n.Entry.Proxy.PoisonStatus()
+	s.Reach = n.Entry.Proxy.ReachStatus()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s.Store = n.view.StoreStatus()
@@ -321,6 +325,7 @@
 		Incarnation:        self.Incarnation,
 		Fleet:              func() inflight.Fleet { return n.fleet.get(self, n.members.Load()) },
 		Counts:             n.requestCounts,
+		Answered:           n.answered,
 		MaxConnIdle:        n.maxConnIdle,
 		Claims:             n.Entry.Proxy.PoisonClaims,
 		OrganisationLimits: organisationLimits{n.Entry.Proxy.OrganisationLimits(), n},
@@ -349,12 +354,20 @@
 	return out
 }
 
+// answered reports whether upstreams have recently answered one of the entries that filter selects.
+func (n *Node) answered(filter balance.EntryFilter) bool {
+	return n.Entry.Proxy.Reach().Answered(n.now(), filter.Own, filter.Peers)
+}
+
 // handleReport applies a report from a peer to the state of the proxy.
 func (n *Node) handleReport(peer string, r *inflight.Report) {
 	n.Entry.Proxy.ApplyPoisonClaims(r.Claims)
 	if r.Scope == inflight.ScopeNone {
 		return
 	}
+	if r.Answered {
+		n.Entry.Proxy.Reach().RecordPeerAnswers(n.now(), peer)
+	}
 	if len(r.Counts) > 0 {
 		n.activate()
 	}
--- /dev/null
+++ b/internal/reach/detector.go
@@ -0,0 +1,253 @@
+// Package reach decides whether an entry is isolated: whether it gets no answer from any upstream
+// while other entries do.
+//
+// Failures at one upstream say little about whose fault they are. Failures at several upstreams in
+// several failure domains, without an answer in between, while other entries are answered, show
+// that the fault lies between this entry and the upstreams. The package does no I/O and reads no
+// clock.
+package reach
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// minUpstreams and minDomains are the numbers of upstreams, and of their failure domains, that
+	// must have failed without an answer. A failure domain can be lost as a whole.
+	minUpstreams = 3
+	minDomains   = 2
+	// minFailing is the shortest time for which failures must continue. A fault that resets all
+	// connections of an instance at once is over by then.
+	minFailing = 200 * time.Millisecond
+	// peerDelay is how long after the first failure a peer must report answers. Answers that it
+	// reports earlier may have arrived before the upstreams failed for all entries.
+	peerDelay = AnswerWindow + 200*time.Millisecond
+	// peerTimeout is the time without reports of answers at peers after which isolation ends. If no
+	// entry is answered, the upstreams have failed, and other entries are of no help.
+	peerTimeout = 2 * time.Second
+	// returnUpstreams is the number of upstreams that must answer, without a failure in between,
+	// for isolation to end.
+	returnUpstreams = 2
+	// maxSuspicion is how long failures without an answer count as possibly the entry's own fault.
+	// Until then they are not reported to other entries.
+	maxSuspicion = 3 * time.Second
+)
+
+// AnswerWindow is how long an answer is reported to other entries as recent.
+const AnswerWindow = 500 * time.Millisecond
+
+// Upstream identifies an upstream.
+type Upstream struct{ ID, Domain string }
+
+// Known counts the upstreams that the entry may use, and their failure domains.
+type Known struct{ Upstreams, Domains int }
+
+// Detector collects the results of attempts. It is safe for concurrent use.
+type Detector struct {
+	mu    sync.Mutex
+	known Known
+	// lastAnswer is the time of the last answer of any upstream.
+	lastAnswer time.Time
+	// failing holds the failure domains of the upstreams that failed since the last answer, and
+	// firstFailure and lastFailure are the times of these failures.
+	failing                   map[string]string
+	firstFailure, lastFailure time.Time
+	// peerAnswers has the time at which each peer last reported recent answers.
+	peerAnswers map[string]time.Time
+	// since is the start of the isolation; zero if the entry is not isolated. answering holds the
+	// upstreams that have answered since the last failure during it.
+	since     time.Time
+	answering map[string]bool
+
+	answers, failures, isolations int64
+}
+
+// NewDetector returns a Detector without any results.
+func NewDetector() *Detector {
+	return &Detector{failing: make(map[string]string), peerAnswers: make(map[string]time.Time), answering: make(map[string]bool)}
+}
+
+// SetKnown sets the numbers of known upstreams and failure domains.
+func (d *Detector) SetKnown(k Known) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known = k
+}
+
+// RecordAnswer records a response of any kind to an attempt that was sent at sent.
+func (d *Detector) RecordAnswer(now time.Time, u Upstream, sent time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answers++
+	if !d.since.IsZero() && !sent.After(d.since) {
+		// The response was on its way when the links failed.
+		return
+	}
+	d.lastAnswer = now
+	if d.since.IsZero() {
+		clear(d.failing)
+		return
+	}
+	d.answering[u.ID] = true
+}
+
+// RecordFailure records an attempt, sent at sent, that found no connection or whose connection
+// broke. An attempt that was sent before the last answer is ignored: the connection may have
+// broken before that answer.
+func (d *Detector) RecordFailure(now time.Time, u Upstream, sent time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failures++
+	if !sent.After(d.lastAnswer) {
+		return
+	}
+	if len(d.failing) == 0 {
+		d.firstFailure = now
+	}
+	d.failing[u.ID] = u.Domain
+	d.lastFailure = now
+	clear(d.answering)
+}
+
+// RecordPeerAnswers records a peer's report that upstreams have answered it recently.
+func (d *Detector) RecordPeerAnswers(now time.Time, peer string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peerAnswers[peer] = now
+}
+
+// Evaluate decides anew whether the entry is isolated, and reports whether that has changed.
+func (d *Detector) Evaluate(now time.Time) (isolated, changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peersAt := d.lastPeerAnswer(now)
+	if d.since.IsZero() {
+		if !d.failsEverywhere() || peersAt.Before(d.firstFailure.Add(peerDelay)) {
+			return false, false
+		}
+		d.since = now
+		d.isolations++
+		return true, true
+	}
+	returned := len(d.answering) >= min(returnUpstreams, max(1, d.known.Upstreams))
+	if !returned && now.Sub(peersAt) < peerTimeout {
+		return true, false
+	}
+	d.since = time.Time{}
+	clear(d.failing)
+	clear(d.answering)
+	return false, true
+}
+
+// failsEverywhere reports whether the failures since the last answer show that no upstream can be
+// reached. The caller holds d.mu.
+func (d *Detector) failsEverywhere() bool {
+	domains := make(map[string]bool)
+	for _, domain := range d.failing {
+		domains[domain] = true
+	}
+	return len(d.failing) >= min(minUpstreams, d.known.Upstreams) && len(d.failing) > 1 &&
+		len(domains) >= min(minDomains, d.known.Domains) && d.lastFailure.Sub(d.firstFailure) >= minFailing
+}
+
+// lastPeerAnswer returns the time of the last report of answers by a peer, and drops older reports.
+// The caller holds d.mu.
+func (d *Detector) lastPeerAnswer(now time.Time) time.Time {
+	var last time.Time
+	for peer, at := range d.peerAnswers {
+		if now.Sub(at) >= peerTimeout {
+			delete(d.peerAnswers, peer)
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// Isolated reports whether the entry was isolated at the last evaluation.
+func (d *Detector) Isolated() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.since.IsZero()
+}
+
+// Suspected reports whether attempts have failed without an answer since, so that the fault may be
+// the entry's own. It is also true during isolation.
+func (d *Detector) Suspected(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.since.IsZero() || len(d.failing) > 0 && now.Sub(d.firstFailure) < maxSuspicion
+}
+
+// Failing reports whether attempts have failed without an answer since.
+func (d *Detector) Failing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.failing) > 0
+}
+
+// Answered reports whether this entry, or a peer that peers selects, has recently been answered by
+// an upstream; nil selects no peer.
+func (d *Detector) Answered(now time.Time, own bool, peers func(peer string) bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if own && d.since.IsZero() && !d.lastAnswer.IsZero() && now.Sub(d.lastAnswer) < AnswerWindow {
+		return true
+	}
+	if peers == nil {
+		return false
+	}
+	for peer, at := range d.peerAnswers {
+		if now.Sub(at) < AnswerWindow && peers(peer) {
+			return true
+		}
+	}
+	return false
+}
+
+// Status is the evidence of a Detector, for metrics, logs and dumps.
+type Status struct {
+	// Isolated is set while the entry is isolated, IsolatedMillis is for how long it has been, and
+	// Isolations counts how often it was.
+	Isolated       bool  `json:"isolated"`
+	IsolatedMillis int64 `json:"isolated_ms"`
+	Isolations     int64 `json:"isolations"`
+	// Answers and Failures count attempts that were answered by an upstream and that failed without
+	// an answer. LastAnswerMillis is the time since the last answer, -1 if there was none.
+	Answers          int64 `json:"answers"`
+	Failures         int64 `json:"failures"`
+	LastAnswerMillis int64 `json:"last_answer_ms"`
+	// FailingUpstreams and FailingDomains are the numbers of upstreams that failed since the last
+	// answer, and of their failure domains.
+	FailingUpstreams int `json:"failing_upstreams"`
+	FailingDomains   int `json:"failing_domains"`
+	// PeersAnswered is the number of peers that recently reported answers. A hub of entries counts
+	// as one.
+	PeersAnswered int `json:"peers_answered"`
+}
+
+// Status returns the present evidence.
+func (d *Detector) Status(now time.Time) Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := Status{Isolated: !d.since.IsZero(), Isolations: d.isolations, Answers: d.answers, Failures: d.failures, LastAnswerMillis: -1, FailingUpstreams: len(d.failing)}
+	if s.Isolated {
+		s.IsolatedMillis = now.Sub(d.since).Milliseconds()
+	}
+	if !d.lastAnswer.IsZero() {
+		s.LastAnswerMillis = now.Sub(d.lastAnswer).Milliseconds()
+	}
+	domains := make(map[string]bool)
+	for _, domain := range d.failing {
+		domains[domain] = true
+	}
+	s.FailingDomains = len(domains)
+	for _, at := range d.peerAnswers {
+		if now.Sub(at) < peerTimeout {
+			s.PeersAnswered++
+		}
+	}
+	return s
+}
