--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -42,6 +42,9 @@
 	DialTimeout time.Duration
 	// Now returns the current time.
 	Now func() time.Time
+	// Dial opens connections; nil means the function of net.Dialer. It is called with a context that
+	// ends after DialTimeout.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Matches reports whether a response belongs to a request; nil means that every response
 	// does.
 	Matches func(*http.Response, *http.Request) bool
@@ -52,8 +55,7 @@
 // discards responses to earlier requests, and it closes a connection that delivers unexpected
 // data. It is safe for concurrent use.
 type Pool struct {
-	opt    PoolOptions
-	dialer net.Dialer
+	opt PoolOptions
 
 	mu        sync.Mutex
 	idle      map[string][]*upstreamConn
@@ -71,7 +73,10 @@
 		opt.Matches = func(*http.Response, *http.Request) bool { return true }
 	}
 	p := &Pool{opt: opt, idle: make(map[string][]*upstreamConn)}
-	p.dialer = net.Dialer{Timeout: opt.DialTimeout, Control: setUnackedTimeout}
+	if p.opt.Dial == nil {
+		dialer := net.Dialer{Control: setUnackedTimeout}
+		p.opt.Dial = dialer.DialContext
+	}
 	return p
 }
 
@@ -154,7 +159,9 @@
 
 func (p *Pool) dial(ctx context.Context, addr string) (*upstreamConn, error) {
 	began := p.opt.Now()
-	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
+	dialing, cancel := context.WithTimeout(ctx, p.opt.DialTimeout)
+	defer cancel()
+	conn, err := p.opt.Dial(dialing, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -35,8 +35,17 @@
 	maxDatagram = 1400
 )
 
+// PacketConn sends and receives the datagrams of an Exchange.
+type PacketConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	Close() error
+}
+
 // Options configures an Exchange.
 type Options struct {
+	// Conn is used in place of a socket at Address, unless it is nil. The Exchange closes it.
+	Conn PacketConn
 	// Address is the local UDP address, IP:PORT.
 	Address string
 	// Entry and Incarnation identify the own entry in its reports.
@@ -82,7 +91,7 @@
 // and send each entry of their domain the sum of all other entries.
 type Exchange struct {
 	opt  Options
-	conn *net.UDPConn
+	conn PacketConn
 	seq  uint64
 	buf  []byte
 
@@ -122,9 +131,11 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return nil, err
+	conn := opt.Conn
+	if conn == nil {
+		if conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr)); err != nil {
+			return nil, err
+		}
 	}
 	if opt.Now == nil {
 		opt.Now = time.Now
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -262,7 +263,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			e.peer.Address = x.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
+			e.peer.Address = x.conn.(*net.UDPConn).LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
 			all = append(all, e)
 			exchanges = append(exchanges, x)
 		}
--- a/internal/inflight/usages_hub_test.go
+++ b/internal/inflight/usages_hub_test.go
@@ -103,7 +103,7 @@
 			t.Fatal(err)
 		}
 		exchanges[id] = x
-		peers[id] = Peer{ID: id, Address: x.conn.LocalAddr().(*net.UDPAddr).AddrPort(), Domain: "d", SameRegion: true, Advertised: true}
+		peers[id] = Peer{ID: id, Address: x.conn.(*net.UDPConn).LocalAddr().(*net.UDPAddr).AddrPort(), Domain: "d", SameRegion: true, Advertised: true}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
