forward, node: an entry that no upstream answers hands requests to its peers and leaves look-ups

What callers saw: for as long as an instance was cut off from all upstreams, its first attempts ended as 503 (unreachable, would-be-late, no-slot) or 502, and look-ups went on to name the instance. Cause: each upstream was judged alone. Nothing compared an entry's failures with what its peers get, there was no other way to an upstream, and the entry's own view went to all: its hung requests as load, its failures as the upstreams', broken connections as crashes. Change: while no upstream answers an entry though upstreams answer its peers (package reach; a few health checks while that is suspected), the entry says so in its reports, look-ups leave it out, and it hands requests over to peers: one hop, with the attempts, time and caller that are left; limits and budgets count at the peer, refusals keep their verdict. Meanwhile it reports neither load nor failures nor crashes of its own, and withdraws the crashes; two answers end it.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -24,7 +24,6 @@
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/inflight"
 	"github.com/loomkeel/loomkeel/internal/metrics"
-	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/node"
 	"github.com/loomkeel/loomkeel/internal/process"
 	"github.com/loomkeel/loomkeel/internal/relay"
@@ -128,12 +127,12 @@
 		return eris.Wrapf(err, "listen on %s for reports", s.PeerAddress)
 	}
 	rollouts := platform.NewRolloutManager(store, n, exchange.Collector, s.Bounds.CanaryShare, clock.Now)
-	lookupMembers := func() []model.Member { return n.LookupMembers(exchange.Absent(clock.Now())) }
+	n.SetAbsent(exchange.Absent)
 	metrics.Publish("store", func() any { return store.CallCounts() })
 	metrics.Publish("answer_fields", func() any { return fields.Status() })
 	metrics.Publish("feed", func() any { return feed.Status() })
 	dump := func() any { return stateDump{n.Dump(), feed.Status()} }
-	if err := listen(n, lookupMembers, dump, s); err != nil {
+	if err := listen(n, dump, s); err != nil {
 		return err
 	}
 	if err := serveRelay(ctx, s.PeerAddress, feed.RelayServer()); err != nil {
@@ -180,16 +179,16 @@
 	}
 }
 
-// listen starts the servers for requests, look-ups, debugging and readiness checks.
-// lookupMembers returns the nodes that look-ups return, and dump the state of the process.
-func listen(n *node.Node, lookupMembers func() []model.Member, dump func() any, s *platform.Settings) error {
+// listen starts the servers for requests, look-ups, debugging and readiness checks. dump returns
+// the state of the process.
+func listen(n *node.Node, dump func() any, s *platform.Settings) error {
 	for _, l := range []struct {
 		addr string
 		open func() (*process.Server, error)
 	}{
 		{s.EntryAddress, func() (*process.Server, error) { return process.Listen(s.EntryAddress, n.Handler()) }},
 		{s.DirectoryAddress, func() (*process.Server, error) {
-			return process.Listen(s.DirectoryAddress, platform.DirectoryHandler(lookupMembers, n.ServingRegions, s.Bounds.MaxLookupTTL))
+			return process.Listen(s.DirectoryAddress, platform.DirectoryHandler(n.LookupMembers, n.ServingRegions, s.Bounds.MaxLookupTTL))
 		}},
 		{s.DebugAddress, func() (*process.Server, error) { return process.Listen(s.DebugAddress, debugHandler(n, dump)) }},
 		{s.ReadinessAddress, func() (*process.Server, error) {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -57,6 +57,18 @@
 	return u.inFlight > 0 && now.Sub(u.lastAnswer) > unresponsiveTimeout+b.expectedWait(u, now, ObjectRequest{})
 }
 
+// ForgetFailures drops the failures that this entry has observed, and the ejections that followed.
+func (b *Balancer) ForgetFailures(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, u := range b.byID {
+		u.failures, u.ejections, u.ejectedUntil, u.shedUntil = 0, 0, time.Time{}, time.Time{}
+		u.outcomes = decayedOutcomes{}
+		u.outlierUntil = time.Time{}
+		u.lastAnswer = now
+	}
+}
+
 // shedWithSpareSlots reports whether an upstream that refused a request as if because of load had
 // free slots, by its own report or else by the entries' counts. Such a refusal is no sign of load.
 // Skipping the upstream would move its objects to upstreams that are cold for them, so it is asked
--- a/internal/balance/outlier.go
+++ b/internal/balance/outlier.go
@@ -86,7 +86,7 @@
 // filteredOutcomes returns the sum of the outcomes of the selected entries.
 func (u *upstreamState) filteredOutcomes(filter EntryFilter, now time.Time) Outcomes {
 	var sum Outcomes
-	if filter.Own {
+	if filter.Own && !filter.OmitOwnOutcomes {
 		sum = u.outcomes.decayedTo(now)
 	}
 	if filter.Peers == nil {
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -20,8 +20,9 @@
 
 // EntryFilter selects the entries whose requests and outcomes are counted.
 type EntryFilter struct {
-	// Own is set to include this entry.
-	Own bool
+	// Own is set to include this entry. OmitOwnOutcomes leaves out its outcomes.
+	Own             bool
+	OmitOwnOutcomes bool
 	// Peers reports whether a peer's reports are included; nil includes none.
 	Peers func(peer string) bool
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -48,10 +48,16 @@
 	buffers *buffers
 	// reserved is the memory reserved for body.
 	reserved int64
+	// onRelease is called once by release, unless it is nil.
+	onRelease func()
 }
 
 // release returns the memory of the body.
 func (res *upstreamResponse) release() {
+	if res.onRelease != nil {
+		res.onRelease()
+		res.onRelease = nil
+	}
 	res.buffers.release(res.reserved)
 	res.reserved = 0
 }
@@ -60,24 +66,14 @@
 // alone. The response that is returned with an error is nil, or has only the info field, if the
 // upstream reported that it did not run the request.
 func (p *Proxy) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*upstreamResponse, *verdict.Error) {
-	body, ok := cl.body.attach(ctx)
-	if !ok {
-		return nil, verdict.New(verdict.NotRun, reasonNotRepeatable, nil)
-	}
-	var writes writeTracker
-	sending := writes.withTrace(ctx)
-	if !cl.Idempotent {
-		sending = withNonIdempotent(sending)
-	}
-	out := p.newRequest(sending, r, cl, to, body)
 	sent := p.now()
-	resp, err := p.transport.RoundTrip(out)
-	if err != nil {
-		verr := sendError(ctx, cl, &writes, err)
-		p.recordReach(&to.Upstream, sent, verr)
+	resp, writes, verr := p.roundTrip(ctx, r, cl, to.Address, func(h http.Header) {
+		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
+	})
+	p.recordReach(&to.Upstream, sent, verr)
+	if verr != nil {
 		return nil, verr
 	}
-	p.recordReach(&to.Upstream, sent, nil)
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
 	p.recordUpstreamLimit(cl, to, info.UpstreamLimit)
 	if info.NotRunReason != "" {
@@ -97,17 +93,36 @@
 	return res, verr
 }
 
-// newRequest returns the request for the upstream.
-func (p *Proxy) newRequest(ctx context.Context, r *http.Request, cl *call, to balance.Choice, body *attemptBody) *http.Request {
+// roundTrip sends the call to an address, with a copy of the caller's headers that setHeaders has
+// changed, and returns the response and what was written.
+func (p *Proxy) roundTrip(ctx context.Context, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *writeTracker, *verdict.Error) {
+	body, ok := cl.body.attach(ctx)
+	if !ok {
+		return nil, nil, verdict.New(verdict.NotRun, reasonNotRepeatable, nil)
+	}
+	writes := new(writeTracker)
+	sending := writes.withTrace(ctx)
+	if !cl.Idempotent {
+		sending = withNonIdempotent(sending)
+	}
+	resp, err := p.transport.RoundTrip(p.newRequest(sending, r, cl, address, body, setHeaders))
+	if err != nil {
+		return nil, writes, sendError(ctx, cl, writes, err)
+	}
+	return resp, writes, nil
+}
+
+// newRequest returns the request for an upstream or a peer.
+func (p *Proxy) newRequest(ctx context.Context, r *http.Request, cl *call, address string, body *attemptBody, setHeaders func(http.Header)) *http.Request {
 	h := r.Header.Clone()
 	removeHopHeaders(h)
-	p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
+	setHeaders(h)
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "")
 	}
 	out := &http.Request{
 		Method:        r.Method,
-		URL:           p.targetURL(r, to),
+		URL:           p.targetURL(r, address),
 		Host:          r.Host,
 		Header:        h,
 		Body:          body,
@@ -119,10 +134,9 @@
 	return out.WithContext(ctx)
 }
 
-// targetURL returns the URL at an upstream, with path and query exactly as the caller sent
-// them.
-func (p *Proxy) targetURL(r *http.Request, to balance.Choice) *url.URL {
-	u := &url.URL{Scheme: p.scheme, Host: to.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+// targetURL returns the URL at an address, with path and query exactly as the caller sent them.
+func (p *Proxy) targetURL(r *http.Request, address string) *url.URL {
+	u := &url.URL{Scheme: p.scheme, Host: address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	if strings.HasPrefix(r.RequestURI, "/") {
 		u.Opaque = r.RequestURI
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -40,6 +39,10 @@
 	inFlightKeys *poison.Keys
 	// failedRegion is the region of the last failed attempt.
 	failedRegion string
+	// handover says which entry handed the request over to this one; nil if none did. noPeer is set
+	// once no peer could take the request.
+	handover *handover
+	noPeer   bool
 	// outcome joins the verdicts of the attempts so far.
 	outcome verdict.Verdict
 }
@@ -68,6 +71,14 @@
 	return c
 }
 
+// applyHandover applies what the entry says that handed the request over; nil means that none did.
+func (c *call) applyHandover(o *handover) {
+	c.handover = o
+	if o != nil && o.Attempts > 0 {
+		c.attempts = min(c.attempts, o.Attempts)
+	}
+}
+
 // priorityOf returns the priority of a request with a route; 0 is the most urgent.
 func priorityOf(info *RequestInfo) int {
 	if o := info.Organisation; o != nil && o.Priority != model.PriorityFromRoute {
@@ -79,12 +90,8 @@
 // headKeysOf returns the poison keys of a request without its body. Callers are distinguished
 // by IP address.
 func headKeysOf(r *http.Request, info *RequestInfo) poison.Keys {
-	caller, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		caller = r.RemoteAddr
-	}
 	req := poison.Request{
-		Method: r.Method, Host: r.Host, Target: r.RequestURI, Object: info.Object, Caller: caller, Length: r.ContentLength,
+		Method: r.Method, Host: r.Host, Target: r.RequestURI, Object: info.Object, Caller: callerIP(r), Length: r.ContentLength,
 	}
 	return req.HeadKeys()
 }
--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -98,6 +98,12 @@
 	h.Set(header.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 }
 
+// SetPeerHeaders implements Protocol.
+func (Native) SetPeerHeaders(h http.Header, info *RequestInfo, left time.Duration) {
+	h.Set(header.RequestID, info.ID)
+	h.Set(header.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+}
+
 // ParseResponse implements Protocol. A response that is delimited by the end of its connection
 // is invalid, because it cannot be distinguished from a truncated one.
 func (Native) ParseResponse(resp *http.Response, info *RequestInfo, svc *model.Service) ResponseInfo {
--- /dev/null
+++ b/internal/forward/peers.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/model"
+)
+
+const (
+	// peerAvoidTime is how long a peer that failed or could take no request is not chosen again.
+	peerAvoidTime = time.Second
+	// minLocalPeers is the share of a region's entries that must be usable for handovers to stay in
+	// the region. With fewer, each would get several times its usual load.
+	minLocalPeers = 1.0 / 3
+)
+
+// peerPicker chooses the peers to which requests are handed over. It is safe for concurrent use.
+type peerPicker struct {
+	mu sync.Mutex
+	// inFlight counts the requests at each peer, avoidUntil is the time until which a peer is not
+	// chosen.
+	inFlight   map[string]int
+	avoidUntil map[string]time.Time
+	handedOver int64
+}
+
+func newPeerPicker() *peerPicker {
+	return &peerPicker{inFlight: make(map[string]int), avoidUntil: make(map[string]time.Time)}
+}
+
+// pick returns the less loaded of two peers chosen at random among those that may get the request:
+// in the own region if enough entries are left there. allows reports whether a region may handle
+// the request; nil allows all. Peers whose IDs are in tried are left out.
+func (s *peerPicker) pick(now time.Time, peers Peers, region string, allows func(string) bool, tried []string) (model.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var local, all []model.Member
+	for _, m := range peers.Usable {
+		if m.Entry == "" || slices.Contains(tried, m.ID) || now.Before(s.avoidUntil[m.ID]) || allows != nil && !allows(m.Region) {
+			continue
+		}
+		all = append(all, m)
+		if m.Region == region {
+			local = append(local, m)
+		}
+	}
+	if float64(len(local)) >= minLocalPeers*float64(peers.InRegion) && len(local) > 0 {
+		all = local
+	}
+	if len(all) == 0 {
+		return model.Member{}, false
+	}
+	all = model.HighCapacity(all)
+	a, b := all[rand.IntN(len(all))], all[rand.IntN(len(all))]
+	if s.inFlight[b.ID] < s.inFlight[a.ID] {
+		a = b
+	}
+	return a, true
+}
+
+// avoid records that a peer failed or could take no request.
+func (s *peerPicker) avoid(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for other, until := range s.avoidUntil {
+		if !now.Before(until) {
+			delete(s.avoidUntil, other)
+		}
+	}
+	s.avoidUntil[id] = now.Add(peerAvoidTime)
+}
+
+// begin and end count a request at a peer.
+func (s *peerPicker) begin(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight[id]++
+	s.handedOver++
+}
+
+func (s *peerPicker) end(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight[id]--; s.inFlight[id] <= 0 {
+		delete(s.inFlight, id)
+	}
+}
+
+// HandoverStatus counts the requests that were handed over, for metrics.
+type HandoverStatus struct {
+	// Sent counts requests handed over to peers, Received those that peers handed over to this
+	// entry, InFlight those that are at peers now.
+	Sent     int64 `json:"sent"`
+	Received int64 `json:"received"`
+	InFlight int   `json:"in_flight"`
+}
+
+// status returns the counts of requests sent to peers.
+func (s *peerPicker) status() HandoverStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := HandoverStatus{Sent: s.handedOver}
+	for _, n := range s.inFlight {
+		out.InFlight += n
+	}
+	return out
+}
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -65,7 +65,7 @@
 // serve the request. The log line identifies the request by its keys, which are the same for
 // all request IDs.
 func (p *Proxy) recordBroken(ctx context.Context, cl *call, to balance.Choice, err *verdict.Error) bool {
-	if err.Reason != reasonBroken || err.Verdict != verdict.MayHaveRun || !closedByPeer(err) {
+	if err.Reason != reasonBroken || err.Verdict != verdict.MayHaveRun || !closedByPeer(err) || p.reach.Isolated() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, prefixWait)
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -120,6 +120,9 @@
 // get returns a usable idle connection or opens a new one.
 func (p *Pool) get(ctx context.Context, addr string) (*upstreamConn, error) {
 	for {
+		if needsNewConnection(ctx) {
+			return p.dial(ctx, addr)
+		}
 		c := p.pop(addr, p.idleCutoff(ctx))
 		if c == nil {
 			return p.dial(ctx, addr)
@@ -205,6 +208,18 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// CloseAllIdle closes all idle connections.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.close()
+		}
+	}
+	clear(p.idle)
+}
+
 // CloseIdle closes the idle connections to an address. After a restart of the upstream they
 // lead to its previous process and would break under the next request.
 func (p *Pool) CloseIdle(addr string) {
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -18,6 +18,10 @@
 	// SetRequestHeaders sets the headers of a request to an upstream. h is a copy of the
 	// caller's headers, and left the time until the request's deadline.
 	SetRequestHeaders(h http.Header, info *RequestInfo, to *model.Upstream, left time.Duration)
+	// SetPeerHeaders sets the headers of a request that is handed over to another entry, which
+	// parses it like a caller's. h is a copy of the caller's headers, and left the time until the
+	// request's deadline.
+	SetPeerHeaders(h http.Header, info *RequestInfo, left time.Duration)
 	// ParseResponse returns what an upstream's response says. It must not read the body.
 	ParseResponse(resp *http.Response, info *RequestInfo, svc *model.Service) ResponseInfo
 	// SetResponseHeaders prepares the headers of an upstream's response for the caller.
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -11,6 +11,7 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,11 @@
 	// Rand returns the random source for one decision; nil means a source seeded by the global
 	// generator.
 	Rand func() *rand.Rand
+	// Peers returns the entries to which requests may be handed over while this entry is isolated;
+	// nil disables handovers. IsPeer reports whether an entry has a given IP address; nil means that
+	// no entry is known.
+	Peers  func() Peers
+	IsPeer func(entry string, ip netip.Addr) bool
 	// CapShares holds this entry's shares of the in-flight caps. Its times are read from
 	// BootClock, in nanoseconds.
 	CapShares *share.Limiter
@@ -70,6 +76,14 @@
 	Observe func(Outcome)
 }
 
+// Peers are the other entries.
+type Peers struct {
+	// Usable are the entries that are live and not known to be stopping, silent or isolated.
+	Usable []model.Member
+	// InRegion is the number of all entries in the own region.
+	InRegion int
+}
+
 // Outcome describes a finished request, for metrics and logs.
 type Outcome struct {
 	// Service is the name of the requested service, and ID the request ID.
@@ -86,6 +100,9 @@
 	Version uint64
 	// Choice is the last upstream that was picked.
 	Choice balance.Choice
+	// Peer is the ID of the entry that the request was handed over to, HandoverFrom that of the
+	// entry that handed it over to this one; empty if none did.
+	Peer, HandoverFrom string
 	// Response is what that upstream's response said.
 	Response ResponseInfo
 	// Status is the HTTP status that was sent to the caller.
@@ -122,6 +139,9 @@
 	reach              *reach.Detector
 	// reachFailed receives a value after an attempt found no connection or broke.
 	reachFailed chan struct{}
+	peers       *peerPicker
+	// handoversReceived counts the requests that other entries handed over to this one.
+	handoversReceived atomic.Int64
 	// urgentLimitUpdates receives a value when limit updates should be sent to other
 	// entries without delay.
 	urgentLimitUpdates chan struct{}
@@ -153,7 +173,7 @@
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	p := &Proxy{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, services: make(map[string]*serviceState), splits: newSplits(), buffers: buffers{limit: opt.MaxBuffered}, rollouts: rollout.NewTracker(), poison: poison.NewTracker(opt.Self), organisationLimits: quota.NewLimiter(), deadlines: newDeadlineSet(), reach: reach.NewDetector(), reachFailed: make(chan struct{}, 1), urgentLimitUpdates: make(chan struct{}, 1),
+	p := &Proxy{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, services: make(map[string]*serviceState), splits: newSplits(), buffers: buffers{limit: opt.MaxBuffered}, rollouts: rollout.NewTracker(), poison: poison.NewTracker(opt.Self), organisationLimits: quota.NewLimiter(), deadlines: newDeadlineSet(), reach: reach.NewDetector(), reachFailed: make(chan struct{}, 1), peers: newPeerPicker(), urgentLimitUpdates: make(chan struct{}, 1),
 		upstreamLimitLog: logs.NewLimiter(upstreamLimitLogsPerSecond, upstreamLimitLogBurst)}
 	if opt.TLS != nil {
 		p.scheme = "https"
@@ -261,6 +281,11 @@
 		out.Duration = p.now().Sub(start)
 		p.opt.Observe(out)
 	}()
+	received := p.takeHandover(r)
+	if received != nil {
+		p.handoversReceived.Add(1)
+		out.HandoverFrom = received.From
+	}
 	snap := p.snap.Load()
 	if snap == nil {
 		p.reply(w, r, nil, &out, p.unavailable(snap))
@@ -277,12 +302,12 @@
 	case reqErr != nil:
 		p.reply(w, r, nil, &out, reqErr.localReply())
 	default:
-		p.handle(w, r, snap, info, &out)
+		p.handle(w, r, snap, info, received, &out)
 	}
 }
 
 // handle serves a request that was parsed without error.
-func (p *Proxy) handle(w http.ResponseWriter, r *http.Request, snap *model.Snapshot, info RequestInfo, out *Outcome) {
+func (p *Proxy) handle(w http.ResponseWriter, r *http.Request, snap *model.Snapshot, info RequestInfo, received *handover, out *Outcome) {
 	svc := p.selectService(snap, &info)
 	out.Service, out.Version = info.Service, snap.Revision
 	if info.Organisation != nil {
@@ -299,6 +324,11 @@
 	cl := newCall(r, info, svc, &p.buffers, p.now())
 	defer cl.body.release()
 	cl.configVersion = snap.Revision
+	cl.applyHandover(received)
+	if received != nil && p.reach.Isolated() {
+		p.reply(w, r, cl.body, out, &localReply{status: http.StatusServiceUnavailable, reason: reasonIsolated, verdict: verdict.NotRun, retryAfter: isolatedRetryAfter})
+		return
+	}
 	if limit := p.maxBody(snap); limit > 0 {
 		if r.ContentLength > limit {
 			p.reply(w, r, cl.body, out, &localReply{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, verdict: verdict.NotRun})
@@ -306,9 +336,11 @@
 		}
 		cl.body.src = http.MaxBytesReader(w, r.Body, limit)
 	}
-	if reply := p.takeOrganisationLimit(cl); reply != nil {
-		p.reply(w, r, cl.body, out, reply)
-		return
+	if !p.shouldHandOver(cl) {
+		if reply := p.takeOrganisationLimit(cl); reply != nil {
+			p.reply(w, r, cl.body, out, reply)
+			return
+		}
 	}
 	defer p.refundOrganisationLimit(cl)
 	ctx := r.Context()
@@ -346,18 +378,25 @@
 
 func (p *Proxy) reply(w http.ResponseWriter, r *http.Request, body *replayBody, out *Outcome, reply *localReply) {
 	closeUnlessComplete(w, r, body)
+	if out.HandoverFrom != "" {
+		// Tells the other entry that no upstream has responded.
+		w.Header().Set(verdict.Header, reply.verdict.String())
+	}
 	out.Status, out.Verdict, out.Reason, out.Detail = reply.status, reply.verdict, reply.reason, reply.detail
 	reply.write(w, p.opt.Protocol, out.ID)
 }
 
+// isolatedRetryAfter is the Retry-After time of an isolated entry.
+const isolatedRetryAfter = 500 * time.Millisecond
+
 // unavailableRetryAfter is the Retry-After time where no better estimate exists.
 const unavailableRetryAfter = time.Second
 
 // unavailable returns the response of an entry that is stopping or has no snapshot yet.
 func (p *Proxy) unavailable(snap *model.Snapshot) *localReply {
-	reply := &localReply{status: http.StatusServiceUnavailable, reason: "entry-leaving", verdict: verdict.NotRun, retryAfter: unavailableRetryAfter}
+	reply := &localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, verdict: verdict.NotRun, retryAfter: unavailableRetryAfter}
 	if snap == nil {
-		reply.reason = "entry-starting"
+		reply.reason = reasonStarting
 		return reply
 	}
 	for _, m := range snap.LocalEntries() {
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -44,10 +44,11 @@
 	}
 }
 
-// checkReach evaluates until upstreams answer again or ctx ends.
+// checkReach probes upstreams and evaluates until upstreams answer again or ctx ends.
 func (p *Proxy) checkReach(ctx context.Context) {
 	tick := time.NewTicker(reachCheckInterval)
 	defer tick.Stop()
+	probeAt := p.now().Add(probeDelay)
 	for p.reach.Failing() || p.reach.Isolated() {
 		select {
 		case <-tick.C:
@@ -55,17 +56,29 @@
 		case <-ctx.Done():
 			return
 		}
+		now := p.now()
+		if now.Before(probeAt) {
+			continue
+		}
+		p.probeUpstreams(ctx)
+		probeAt = now.Add(slowProbeInterval)
+		if p.reach.Suspected(now) {
+			probeAt = now.Add(probeInterval)
+		}
 	}
 }
 
-// evaluateReach decides whether the entry is isolated, and logs a change with its evidence.
+// evaluateReach decides whether the entry is isolated, and logs a change with its evidence. What
+// the entry has learnt about upstreams while it was cut off is dropped.
 func (p *Proxy) evaluateReach() {
 	before := p.ReachStatus()
 	isolated, changed := p.reach.Evaluate(p.now())
 	if !changed {
 		return
 	}
+	p.forgetFailures()
 	if isolated {
+		p.poison.WithdrawCrashes(p.now(), p.now().Add(-time.Duration(before.FailingMillis)*time.Millisecond))
 		klog.InfoS("isolated: no upstream answers this entry, but upstreams answer others", "failing_upstreams", before.FailingUpstreams,
 			"failing_domains", before.FailingDomains, "last_answer_ms", before.LastAnswerMillis, "peers_answered", before.PeersAnswered)
 		return
@@ -73,6 +86,31 @@
 	klog.InfoS("isolation ended", "took_ms", before.IsolatedMillis, "last_answer_ms", before.LastAnswerMillis, "peers_answered", before.PeersAnswered)
 }
 
+// forgetFailures drops the failures of upstreams that this entry has observed, and the connections
+// to them.
+func (p *Proxy) forgetFailures() {
+	now := p.now()
+	for _, state := range p.allServices() {
+		state.balancer.ForgetFailures(now)
+		state.queue.Wake()
+	}
+	if pool, ok := p.transport.(*Pool); ok {
+		pool.CloseAllIdle()
+		pool.reuse.reset()
+	}
+}
+
+// failuresSuspect reports whether the failures at this entry may be its own fault, so that they
+// must not count against upstreams at other entries.
+func (p *Proxy) failuresSuspect() bool { return p.reach.Suspected(p.now()) }
+
+// HandoverStatus counts the requests that were handed over to peers and by peers.
+func (p *Proxy) HandoverStatus() HandoverStatus {
+	s := p.peers.status()
+	s.Received = p.handoversReceived.Load()
+	return s
+}
+
 // Reach returns the detector of whether the entry is isolated.
 func (p *Proxy) Reach() *reach.Detector { return p.reach }
 
--- a/internal/forward/reuse.go
+++ b/internal/forward/reuse.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// reset ends the limit.
+func (r *reuseLimiter) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = ReuseLimit{}
+}
+
 // current returns the limit that holds, or the zero value.
 func (r *reuseLimiter) current(now time.Time) ReuseLimit {
 	r.mu.Lock()
@@ -94,4 +101,13 @@
 	return context.WithValue(ctx, nonIdempotentKey{}, true)
 }
 
+// newConnectionKey is the context key of requests that must not use an idle connection.
+type newConnectionKey struct{}
+
+func withNewConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, newConnectionKey{}, true)
+}
+
+func needsNewConnection(ctx context.Context) bool { return ctx.Value(newConnectionKey{}) != nil }
+
 func isNonIdempotent(ctx context.Context) bool { return ctx.Value(nonIdempotentKey{}) != nil }
--- a/internal/forward/rollout.go
+++ b/internal/forward/rollout.go
@@ -66,7 +66,8 @@
 
 // recordForRollout counts the answer of an upstream, if its service is in a rollout. Of requests
 // without an answer only those count for which it took too long: connections break for reasons
-// that do not depend on the upstream's version.
+// that do not depend on the upstream's version. While none answers this entry, a timeout may be the
+// fault of its links.
 func (p *Proxy) recordForRollout(cl *call, choice balance.Choice, res *upstreamResponse, err *verdict.Error) {
 	traffic := p.rolloutOf(cl.service.Name)
 	if traffic == nil || cl.Route == nil {
@@ -77,7 +78,7 @@
 	case res != nil && res.resp != nil:
 		failed := res.resp.StatusCode >= http.StatusInternalServerError
 		bad = failed || isSlow(choice, p.now().Sub(choice.SendAt), cl.Route.Objective)
-	case err != nil && err.Reason == reasonTimeout:
+	case err != nil && err.Reason == reasonTimeout && !p.failuresSuspect():
 		bad = true
 	default:
 		return
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -32,7 +32,7 @@
 func (p *Proxy) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, snap *model.Snapshot, cl *call, out *Outcome) {
 	state := p.serviceState(cl.service.Name)
 	regions := p.candidateRegions(snap, cl, state)
-	if cl.service.Routed {
+	if cl.service.Routed && !p.shouldHandOver(cl) {
 		state.budget.Deposit(cl.service.RetryBudget)
 	}
 	var last *verdict.Error
@@ -42,6 +42,9 @@
 			p.reply(w, r, cl.body, out, reply.withOutcome(last, cl.outcome))
 			return
 		}
+		if p.shouldHandOver(cl) && p.handOver(ctx, w, r, cl, state, out) {
+			return
+		}
 		choice, err := p.acquire(ctx, cl, state, regions, mustWait)
 		if err != nil {
 			if last == nil || err.Verdict == verdict.MayHaveRun {
@@ -82,6 +85,9 @@
 			break
 		}
 	}
+	if p.mayHandOver(ctx, cl, state, last) && p.handOver(ctx, w, r, cl, state, out) {
+		return
+	}
 	reply := replyFor(last, cl.outcome)
 	reply.retryAfter = max(reply.retryAfter, state.retryAfter(regions[0]))
 	p.reply(w, r, cl.body, out, reply)
@@ -156,6 +162,10 @@
 	if res.buffered {
 		p.release(state, choice, report)
 	}
+	if out.HandoverFrom != "" {
+		// An entry that handed the request over takes a response with this header for this entry's.
+		res.resp.Header.Del(verdict.Header)
+	}
 	_, err := res.writeTo(w, p.opt.Protocol, cl)
 	if err != nil {
 		report.Result = balance.Abandoned
@@ -163,19 +173,23 @@
 	if !res.buffered {
 		p.release(state, choice, report)
 	}
-	if err == nil {
-		p.recordResponse(cl)
+	p.finishDelivery(cl, res, out, choice.ID, err)
+	if !cl.service.Routed {
+		state.budget.Deposit(cl.service.RetryBudget)
 	}
+	state.shedBudget.Deposit(shedBudgetRatio)
+}
+
+// finishDelivery records a response that was sent to the caller; err is the error of sending it. On
+// an error it aborts the caller's connection.
+func (p *Proxy) finishDelivery(cl *call, res *upstreamResponse, out *Outcome, from string, err error) {
 	out.Status, out.Verdict, out.Response = res.resp.StatusCode, verdict.Ran, res.info
 	if err != nil {
 		out.Reason = reasonBroken
-		klog.InfoS("response body broke off", "request", cl.ID, "upstream", choice.ID, "err", err)
+		klog.InfoS("response body broke off", "request", cl.ID, "from", from, "err", err)
 		panic(http.ErrAbortHandler)
 	}
-	if !cl.service.Routed {
-		state.budget.Deposit(cl.service.RetryBudget)
-	}
-	state.shedBudget.Deposit(shedBudgetRatio)
+	p.recordResponse(cl)
 }
 
 // candidateRegions returns the regions to try, in order: the target of a move, the own region,
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -37,9 +37,12 @@
 }
 
 // VisitLoads calls visit with each upstream and the load that the entries selected by whose
-// have there.
+// have there. Its own requests and their outcomes are left out while they may be due to its own
+// links.
 func (p *Proxy) VisitLoads(whose balance.EntryFilter, visit func(upstream uint32, load balance.Load)) {
 	now := p.now()
+	whose.Own = whose.Own && !p.reach.LoadSuspect(now)
+	whose.OmitOwnOutcomes = p.failuresSuspect()
 	for _, state := range p.allServices() {
 		state.balancer.VisitLoads(now, whose, visit)
 	}
@@ -53,9 +56,9 @@
 	}
 }
 
-// ReuseLimit returns the limit on the reuse of idle connections that holds at this entry.
+// ReuseLimit returns the limit on the reuse of idle connections that other entries must keep too.
 func (p *Proxy) ReuseLimit() ReuseLimit {
-	if pool, ok := p.transport.(*Pool); ok {
+	if pool, ok := p.transport.(*Pool); ok && !p.failuresSuspect() {
 		return pool.reuse.current(p.now())
 	}
 	return ReuseLimit{}
@@ -69,8 +72,12 @@
 }
 
 // PoisonClaims returns at most n claims to send to other entries about requests that crashed
-// upstreams. If relay is set, they include claims of other entries.
+// upstreams. If relay is set, they include claims of other entries. There are none while it is not
+// clear whether connections broke by crashes or because of the entry's own links.
 func (p *Proxy) PoisonClaims(n int, relay bool) []poison.Claim {
+	if !p.reach.Isolated() && p.failuresSuspect() {
+		return nil
+	}
 	return p.poison.Claims(p.now(), n, relay)
 }
 
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -18,6 +18,12 @@
 	// RateLimit is the number of requests per second that the upstream accepts from all entries
 	// together.
 	RateLimit = "Upstream-Limit"
+	// HandoverFrom is the ID of the entry that hands a request over to another entry.
+	HandoverFrom = "Loomkeel-Handover-From"
+	// HandoverCaller is the IP address of the caller of such a request.
+	HandoverCaller = "Loomkeel-Handover-Caller"
+	// HandoverAttempts is the number of attempts that are left for such a request.
+	HandoverAttempts = "Loomkeel-Handover-Attempts"
 	// State is set to StateDraining by an upstream that wants no new requests.
 	State = "Upstream-State"
 )
--- a/internal/inflight/absent.go
+++ b/internal/inflight/absent.go
@@ -67,7 +67,7 @@
 	return ok && now.Sub(at) < absentLifetime
 }
 
-// Absent returns the IDs of the entries that are stopping or silent. In a fleet with hubs
+// Absent returns the IDs of the entries that are stopping, isolated or silent. In a fleet with hubs
 // the hub reports which entries of the own failure domain are absent; other domains are
 // not covered.
 func (x *Exchange) Absent(now time.Time) map[string]bool {
@@ -94,13 +94,17 @@
 }
 
 // absentInDomain returns the hashes of the absent entries of the own failure domain: the
-// entries without a recent report to this entry, their hub, and the entries that announced
-// that they stop. The caller holds x.mu.
+// entries without a recent report to this entry, their hub, the entries that announced that they
+// stop or are isolated, and this entry if it does. The caller holds x.mu.
 func (x *Exchange) absentInDomain(domain []Peer, now time.Time) []uint32 {
 	silent := x.hubs.absent(domain, now)
 	var out []uint32
 	for _, p := range domain {
-		if x.presence.leaving[p.ID] || slices.Contains(silent, p.ID) {
+		unusable := x.presence.unusable[p.ID]
+		if p.ID == x.opt.Entry {
+			unusable = x.opt.Leaving() || x.opt.Isolated()
+		}
+		if unusable || slices.Contains(silent, p.ID) {
 			out = append(out, poison.HashEntry(p.ID))
 		}
 	}
--- a/internal/inflight/decode.go
+++ b/internal/inflight/decode.go
@@ -24,7 +24,7 @@
 	r := &Report{Last: allUpstreams}
 	var upstreams, requests, failures, absent, claim, usages, limitUpdates, rollouts []byte
 	var claims [][]byte
-	var relayed, covered, rolloutScope, usagesScope, scope, maxConnIdle, maxConnIdleLeft, leaving, answered, idle uint64
+	var relayed, covered, rolloutScope, usagesScope, scope, maxConnIdle, maxConnIdleLeft, leaving, isolated, answered, idle uint64
 	err := eachField(b, func(field protowire.Number, kind protowire.Type, b []byte) (n int) {
 		switch {
 		case field == fieldEntry && kind == protowire.BytesType:
@@ -47,6 +47,8 @@
 			maxConnIdleLeft, n = protowire.ConsumeVarint(b)
 		case field == fieldLeaving && kind == protowire.VarintType:
 			leaving, n = protowire.ConsumeVarint(b)
+		case field == fieldIsolated && kind == protowire.VarintType:
+			isolated, n = protowire.ConsumeVarint(b)
 		case field == fieldAnswered && kind == protowire.VarintType:
 			answered, n = protowire.ConsumeVarint(b)
 		case field == fieldIdle && kind == protowire.VarintType:
@@ -88,7 +90,7 @@
 	if covered > maxCovered || usagesScope >= uint64(ScopeNone) || rolloutScope >= uint64(ScopeNone) || scope > uint64(ScopeNone) || r.First > r.Last || maxConnIdle > maxConnIdleMillis || maxConnIdleLeft > maxConnIdleMillis {
 		return nil, errMalformed
 	}
-	r.Scope, r.Leaving, r.Answered, r.Idle = Scope(scope), leaving != 0, answered != 0, idle != 0
+	r.Scope, r.Leaving, r.Isolated, r.Answered, r.Idle = Scope(scope), leaving != 0, isolated != 0, answered != 0, idle != 0
 	r.MaxConnIdle, r.MaxConnIdleLeft = time.Duration(maxConnIdle)*time.Millisecond, time.Duration(maxConnIdleLeft)*time.Millisecond
 	if err := r.decodeCounts(upstreams, requests); err != nil {
 		return nil, err
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -72,6 +72,8 @@
 	Rollouts Rollouts
 	// Leaving reports whether the own entry is stopping.
 	Leaving func() bool
+	// Isolated reports whether the own entry is isolated; nil means never.
+	Isolated func() bool
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 	// Busy reports whether the own entry serves more than a few requests; nil means
@@ -146,6 +148,9 @@
 	if opt.Answered == nil {
 		opt.Answered = func(balance.EntryFilter) bool { return false }
 	}
+	if opt.Isolated == nil {
+		opt.Isolated = func() bool { return false }
+	}
 	if opt.Busy == nil {
 		opt.Busy = func() bool { return true }
 	}
@@ -319,7 +324,7 @@
 	}
 	template.Entry, template.Incarnation, template.Sequence = x.opt.Entry, x.opt.Incarnation, x.seq
 	template.Counts = x.opt.Counts(filter)
-	template.Leaving = x.opt.Leaving()
+	template.Leaving, template.Isolated = x.opt.Leaving(), x.opt.Isolated()
 	template.Answered = template.Answered || x.opt.Answered(filter)
 	template.MaxConnIdle, template.MaxConnIdleLeft = x.opt.MaxConnIdle()
 	for _, r := range template.split() {
@@ -411,7 +416,7 @@
 		}
 		x.mu.Lock()
 		x.hubs.record(p, r, now)
-		x.presence.record(p.ID, r.Leaving)
+		x.presence.record(p.ID, r.Leaving || r.Isolated)
 		if r.Scope == ScopeOthers {
 			x.absent.apply(r.Absent, now)
 		}
--- a/internal/inflight/presence.go
+++ b/internal/inflight/presence.go
@@ -19,17 +19,17 @@
 type presence struct {
 	// listedSince has the time at which each entry was first listed.
 	listedSince map[string]time.Time
-	// leaving has the entries whose last report announced that they stop.
-	leaving map[string]bool
+	// unusable has the entries whose last report announced that they stop or are isolated.
+	unusable map[string]bool
 }
 
 // newPresence returns a presence without any peers.
 func newPresence() *presence {
-	return &presence{listedSince: make(map[string]time.Time), leaving: make(map[string]bool)}
+	return &presence{listedSince: make(map[string]time.Time), unusable: make(map[string]bool)}
 }
 
-// record records whether an entry's last report announced that the entry stops.
-func (p *presence) record(id string, leaving bool) { p.leaving[id] = leaving }
+// record records whether an entry's last report announced that the entry stops or is isolated.
+func (p *presence) record(id string, unusable bool) { p.unusable[id] = unusable }
 
 // setListed replaces the list of peers. State of peers that are no longer listed is deleted.
 func (p *presence) setListed(peers []Peer, now time.Time) {
@@ -43,12 +43,12 @@
 	for id := range p.listedSince {
 		if !listed[id] {
 			delete(p.listedSince, id)
-			delete(p.leaving, id)
+			delete(p.unusable, id)
 		}
 	}
 }
 
-// absent returns the listed peers that are stopping or silent, given the time of each
+// absent returns the listed peers that are stopping, isolated or silent, given the time of each
 // entry's last report. No peer counts as silent if more than maxSilentShare would.
 func (p *presence) absent(lastReport map[string]time.Time, now time.Time) map[string]bool {
 	out := make(map[string]bool)
@@ -67,7 +67,7 @@
 		clear(out)
 	}
 	for id := range p.listedSince {
-		if p.leaving[id] {
+		if p.unusable[id] {
 			out[id] = true
 		}
 	}
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -62,13 +62,15 @@
 	MaxConnIdle, MaxConnIdleLeft time.Duration
 	// Leaving is set while the sender is stopping.
 	Leaving bool
+	// Isolated is set while no upstream answers the sender though upstreams answer others.
+	Isolated bool
 	// Answered is set if upstreams have recently answered one of the entries that Scope selects.
 	Answered bool
 	// Idle is set while the sender has had few requests for a while. Hubs send reports less
 	// often to idle entries.
 	Idle bool
 	// Absent are the hashes of the IDs of entries of the sender's failure domain that are
-	// stopping or silent; see poison.HashEntry. Only hubs set it.
+	// stopping, isolated or silent; see poison.HashEntry. Only hubs set it.
 	Absent []uint32
 	Counts []Count
 	// Claims are about requests that crashed upstreams. They are sent in separate reports.
@@ -117,6 +119,7 @@
 	fieldRolloutScope    = 21
 	fieldRollouts        = 22
 	fieldAnswered        = 23
+	fieldIsolated        = 24
 )
 
 const (
@@ -185,6 +188,10 @@
 		b = protowire.AppendTag(b, fieldLeaving, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
 	}
+	if r.Isolated {
+		b = protowire.AppendTag(b, fieldIsolated, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
+	}
 	if r.Answered {
 		b = protowire.AppendTag(b, fieldAnswered, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
--- a/internal/node/apply_test.go
+++ b/internal/node/apply_test.go
@@ -126,6 +126,6 @@
 	n := largeNode()
 	b.ReportAllocs()
 	for range b.N {
-		route.Nearest(n.LookupMembers(nil), "r0", "d0", nil)
+		route.Nearest(n.LookupMembers(), "r0", "d0", nil)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	Entry *entry.Entry
 	// UnknownSenders holds the senders of reports that are not among the members.
 	UnknownSenders *relay.UnknownSenders
+	self           model.Member
 	now            func() time.Time
 	// syncNow is forward.Options.SyncNow: it corrects the clock for a suspension of the
 	// machine and then returns the current time.
@@ -73,6 +74,8 @@
 	view    *view.View
 	members atomic.Pointer[[]model.Member]
 	fleet   fleetCache
+	// absent returns the nodes that are stopping, isolated or silent.
+	absent atomic.Pointer[func(now time.Time) map[string]bool]
 	// synced is set by MarkSynced.
 	synced atomic.Bool
 	// routes is the table of the configuration; nil until the node is synced and there is one.
@@ -90,11 +93,14 @@
 // New returns a Node that rejects all requests until MarkSynced is called and a
 // configuration is known. proxy.Now must be set.
 func New(opt view.Options, proxy forward.Options) *Node {
-	n := &Node{Entry: entry.New(proxy), UnknownSenders: relay.NewUnknownSenders(), now: proxy.Now, syncNow: proxy.SyncNow, view: view.New(opt)}
+	n := &Node{UnknownSenders: relay.NewUnknownSenders(), self: opt.Self, now: proxy.Now, syncNow: proxy.SyncNow, view: view.New(opt)}
 	if n.syncNow == nil {
 		n.syncNow = n.now
 	}
 	n.members.Store(new([]model.Member))
+	n.SetAbsent(func(time.Time) map[string]bool { return nil })
+	proxy.Peers, proxy.IsPeer = n.peers, n.isPeer
+	n.Entry = entry.New(proxy)
 	return n
 }
 
@@ -148,22 +154,60 @@
 	return routes.ServingRegions(host)
 }
 
-// LookupMembers returns the nodes that look-ups return to callers: the live ones except
-// those in absent, which have stopped or are silent, but whose registrations may remain
-// during an outage of the key-value store. It returns none before MarkSynced: until then
-// the list of members may hold only the node itself, and the caller may be in another
-// region. The result may be shared and must not be modified.
-func (n *Node) LookupMembers(absent map[string]bool) []model.Member {
+// SetAbsent sets the function that returns the nodes that are stopping, isolated or silent. Their
+// registrations may remain during an outage of the key-value store.
+func (n *Node) SetAbsent(absent func(now time.Time) map[string]bool) { n.absent.Store(&absent) }
+
+// LookupMembers returns the nodes that look-ups return to callers: the live ones except absent
+// nodes, and except this node while it is isolated. If that leaves none, it returns all: callers
+// that reach an isolated node are served again as soon as it returns. It returns none before
+// MarkSynced: until then the list of members may hold only the node itself, and the caller may be
+// in another region. The result may be shared and must not be modified.
+func (n *Node) LookupMembers() []model.Member {
 	if !n.synced.Load() {
 		return nil
 	}
 	members := n.Members()
-	if len(absent) == 0 {
+	absent := (*n.absent.Load())(n.now())
+	isolated := n.Entry.Proxy.Reach().Isolated()
+	if len(absent) == 0 && !isolated {
 		// Without absent members no copy is needed; copying the whole fleet for each look-up
 		// would be expensive.
 		return members
 	}
-	return slices.DeleteFunc(slices.Clone(members), func(m model.Member) bool { return absent[m.ID] })
+	present := slices.DeleteFunc(slices.Clone(members), func(m model.Member) bool {
+		return absent[m.ID] || isolated && m.ID == n.self.ID
+	})
+	if len(present) == 0 {
+		return members
+	}
+	return present
+}
+
+// peers returns the nodes to which requests may be handed over.
+func (n *Node) peers() forward.Peers {
+	absent := (*n.absent.Load())(n.now())
+	var out forward.Peers
+	for _, m := range *n.members.Load() {
+		if m.Region == n.self.Region {
+			out.InRegion++
+		}
+		if m.ID != n.self.ID && m.Live() && !absent[m.ID] {
+			out.Usable = append(out.Usable, m)
+		}
+	}
+	return out
+}
+
+// isPeer reports whether a node has an IP address.
+func (n *Node) isPeer(id string, ip netip.Addr) bool {
+	for _, m := range *n.members.Load() {
+		if m.ID == id {
+			addr, err := netip.ParseAddrPort(m.Agent)
+			return err == nil && addr.Addr().Unmap() == ip
+		}
+	}
+	return false
 }
 
 // RunExpiry periodically removes records that lapsed during an outage of the key-value store
@@ -251,6 +295,8 @@
 	Poison poison.Status `json:"poison"`
 	// Reach is the evidence of whether the node reaches the upstreams.
 	Reach reach.Status `json:"reach"`
+	// Handovers counts the requests that were handed over to other nodes, and by them.
+	Handovers forward.HandoverStatus `json:"handovers"`
 	// Store is the state of the platform's key-value store as the node observes it.
 	Store view.StoreStatus `json:"service"`
 }
@@ -262,6 +308,7 @@
 	}
 	s.Poison = n.Entry.Proxy.PoisonStatus()
 	s.Reach = n.Entry.Proxy.ReachStatus()
+	s.Handovers = n.Entry.Proxy.HandoverStatus()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s.Store = n.view.StoreStatus()
@@ -326,6 +373,7 @@
 		Fleet:              func() inflight.Fleet { return n.fleet.get(self, n.members.Load()) },
 		Counts:             n.requestCounts,
 		Answered:           n.answered,
+		Isolated:           n.Entry.Proxy.Reach().Isolated,
 		MaxConnIdle:        n.maxConnIdle,
 		Claims:             n.Entry.Proxy.PoisonClaims,
 		OrganisationLimits: organisationLimits{n.Entry.Proxy.OrganisationLimits(), n},
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -200,6 +200,30 @@
 	}
 }
 
+// WithdrawCrashes withdraws the crashes that this entry has recorded since a time, because its own
+// links failed. Holds that followed from them end.
+func (t *Tracker) WithdrawCrashes(now, since time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		withdrawn := false
+		for upstream, at := range r.ownCrashes {
+			if !at.Before(since) {
+				delete(r.ownCrashes, upstream)
+				delete(t.attributed, upstream)
+				withdrawn = true
+			}
+		}
+		if !withdrawn {
+			continue
+		}
+		if !r.heldSince.Before(since) && len(t.crashes(now, r)) < holdThreshold {
+			r.heldSince, r.heldUntil, r.holds = time.Time{}, time.Time{}, 0
+		}
+		t.reevaluate(now, r)
+	}
+}
+
 // Begin decides on a request before it is sent to an upstream. Unless the request is held, the
 // caller must call End when the request has finished.
 func (t *Tracker) Begin(now time.Time, keys Keys) Decision {
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -32,6 +32,9 @@
 	// maxSuspicion is how long failures without an answer count as possibly the entry's own fault.
 	// Until then they are not reported to other entries.
 	maxSuspicion = 3 * time.Second
+	// loadSuspectAfter is how long attempts must fail without an answer before requests in flight
+	// are no longer reported. An entry with some load gets an answer within that time.
+	loadSuspectAfter = 300 * time.Millisecond
 )
 
 // AnswerWindow is how long an answer is reported to other entries as recent.
@@ -181,6 +184,14 @@
 	return !d.since.IsZero() || len(d.failing) > 0 && now.Sub(d.firstFailure) < maxSuspicion
 }
 
+// LoadSuspect reports whether this entry's requests at upstreams may not be there: attempts have
+// failed without an answer for loadSuspectAfter.
+func (d *Detector) LoadSuspect(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.since.IsZero() || len(d.failing) > 0 && now.Sub(d.firstFailure) >= loadSuspectAfter
+}
+
 // Failing reports whether attempts have failed without an answer since.
 func (d *Detector) Failing() bool {
 	d.mu.Lock()
@@ -223,6 +234,8 @@
 	// answer, and of their failure domains.
 	FailingUpstreams int `json:"failing_upstreams"`
 	FailingDomains   int `json:"failing_domains"`
+	// FailingMillis is the time since the first of these failures; 0 without any.
+	FailingMillis int64 `json:"failing_ms"`
 	// PeersAnswered is the number of peers that recently reported answers. A hub of entries counts
 	// as one.
 	PeersAnswered int `json:"peers_answered"`
@@ -244,6 +257,9 @@
 		domains[domain] = true
 	}
 	s.FailingDomains = len(domains)
+	if len(d.failing) > 0 {
+		s.FailingMillis = now.Sub(d.firstFailure).Milliseconds()
+	}
 	for _, at := range d.peerAnswers {
 		if now.Sub(at) < peerTimeout {
 			s.PeersAnswered++
