forward: a handover avoids the failure domain of a peer that is isolated itself

Cause: in a fleet with hubs an entry knows the isolated entries of its own failure domain only. With a whole region cut off, requests went to isolated peers of the region's other domain, three in turn, and then to upstreams that cannot be reached. Change: a reply that says entry-isolated keeps its failure domain from being chosen for a second. Conclusion: traced and mended; look-ups in a fleet with hubs may still name isolated nodes of another domain, which serve through peers.

--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -84,7 +84,7 @@
 		res, reply, err := p.sendToPeer(ctx, r, cl, peer, attempts)
 		switch {
 		case err != nil:
-			p.peers.avoid(peer.ID, p.now())
+			p.peers.avoid(peer, false, p.now())
 			p.logHandoverFailure(cl, peer, err)
 			cl.outcome = verdict.Join(cl.outcome, err.Verdict)
 			if err.Verdict == verdict.NotRun && err.Reason == reasonUnreachable {
@@ -98,7 +98,7 @@
 			p.reply(w, r, cl.body, out, replyFor(err, cl.outcome))
 			return true
 		case reply != nil && reply.cannotServe():
-			p.peers.avoid(peer.ID, p.now())
+			p.peers.avoid(peer, reply.reason == reasonIsolated, p.now())
 		case reply != nil:
 			p.reply(w, r, cl.body, out, reply.withOutcome(verdict.New(cl.outcome, reply.reason, nil), cl.outcome))
 			return true
--- a/internal/forward/peers.go
+++ b/internal/forward/peers.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -20,15 +21,15 @@
 // peerPicker chooses the peers to which requests are handed over. It is safe for concurrent use.
 type peerPicker struct {
 	mu sync.Mutex
-	// inFlight counts the requests at each peer, avoidUntil is the time until which a peer is not
-	// chosen.
-	inFlight   map[string]int
-	avoidUntil map[string]time.Time
-	handedOver int64
+	// inFlight counts the requests at each peer. avoidUntil is the time until which a peer is not
+	// chosen, avoidDomainUntil the same for a failure domain.
+	inFlight                     map[string]int
+	avoidUntil, avoidDomainUntil map[string]time.Time
+	handedOver                   int64
 }
 
 func newPeerPicker() *peerPicker {
-	return &peerPicker{inFlight: make(map[string]int), avoidUntil: make(map[string]time.Time)}
+	return &peerPicker{inFlight: make(map[string]int), avoidUntil: make(map[string]time.Time), avoidDomainUntil: make(map[string]time.Time)}
 }
 
 // pick returns the less loaded of two peers chosen at random among those that may get the request:
@@ -39,7 +40,7 @@
 	defer s.mu.Unlock()
 	var local, all []model.Member
 	for _, m := range peers.Usable {
-		if m.Entry == "" || slices.Contains(tried, m.ID) || now.Before(s.avoidUntil[m.ID]) || allows != nil && !allows(m.Region) {
+		if m.Entry == "" || slices.Contains(tried, m.ID) || now.Before(s.avoidUntil[m.ID]) || now.Before(s.avoidDomainUntil[m.Domain]) || allows != nil && !allows(m.Region) {
 			continue
 		}
 		all = append(all, m)
@@ -61,16 +62,17 @@
 	return a, true
 }
 
-// avoid records that a peer failed or could take no request.
-func (s *peerPicker) avoid(id string, now time.Time) {
+// avoid records that a peer failed or could take no request. If the peer is isolated, its failure
+// domain is avoided: in a fleet with hubs the isolated entries of other domains are not known, and
+// they are often cut off together.
+func (s *peerPicker) avoid(peer model.Member, isolated bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for other, until := range s.avoidUntil {
-		if !now.Before(until) {
-			delete(s.avoidUntil, other)
-		}
+	maps.DeleteFunc(s.avoidUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	s.avoidUntil[peer.ID] = now.Add(peerAvoidTime)
+	if isolated {
+		s.avoidDomainUntil[peer.Domain] = now.Add(peerAvoidTime)
 	}
-	s.avoidUntil[id] = now.Add(peerAvoidTime)
 }
 
 // begin and end count a request at a peer.
