reach: failures on new connections are evidence of their own; peers' answers must come first

Cause: with open connections that live on, each answer ended the series of failures, so an entry that could open no connection was not isolated and lost a tenth of its first attempts. And an entry whose last failures came from an outage of all upstreams was isolated for a moment when peers were answered again before it was. Change: two series of failures, one that only answers on new connections end. Failures count if they were sent after peers began to report answers.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -70,7 +70,7 @@
 	resp, writes, verr := p.roundTrip(ctx, r, cl, to.Address, func(h http.Header) {
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
 	})
-	p.recordReach(&to.Upstream, sent, verr)
+	p.recordReach(&to.Upstream, sent, writes.newConnection(), verr)
 	if verr != nil {
 		return nil, verr
 	}
@@ -98,7 +98,7 @@
 func (p *Proxy) roundTrip(ctx context.Context, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *writeTracker, *verdict.Error) {
 	body, ok := cl.body.attach(ctx)
 	if !ok {
-		return nil, nil, verdict.New(verdict.NotRun, reasonNotRepeatable, nil)
+		return nil, new(writeTracker), verdict.New(verdict.NotRun, reasonNotRepeatable, nil)
 	}
 	writes := new(writeTracker)
 	sending := writes.withTrace(ctx)
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -88,10 +88,10 @@
 	case err == nil:
 		_, _ = io.CopyN(io.Discard, resp.Body, maxBufferedResponse)
 		resp.Body.Close()
-		p.recordReach(&target.upstream, sent, nil)
+		p.recordReach(&target.upstream, sent, true, nil)
 	case ctx.Err() != nil && !writes.nothingWritten():
 		// The upstream accepted the connection and is slow.
 	default:
-		p.recordReach(&target.upstream, sent, verdict.New(verdict.NotRun, reasonUnreachable, err))
+		p.recordReach(&target.upstream, sent, true, verdict.New(verdict.NotRun, reasonUnreachable, err))
 	}
 }
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -18,13 +18,13 @@
 // recordReach records what an attempt, sent at sent, shows about whether this entry reaches the
 // upstreams. Attempts that ended for other reasons than a failed connection show nothing. A timeout
 // does not either: the upstream may be slow.
-func (p *Proxy) recordReach(to *model.Upstream, sent time.Time, err *verdict.Error) {
-	u := reach.Upstream{ID: to.ID, Domain: to.Domain}
+func (p *Proxy) recordReach(to *model.Upstream, sent time.Time, newConnection bool, err *verdict.Error) {
+	a := reach.Attempt{Upstream: reach.Upstream{ID: to.ID, Domain: to.Domain}, Sent: sent, NewConnection: newConnection}
 	switch {
 	case err == nil:
-		p.reach.RecordAnswer(p.now(), u, sent)
+		p.reach.RecordAnswer(p.now(), a)
 	case err.Reason == reasonUnreachable || err.Reason == reasonBroken:
-		p.reach.RecordFailure(p.now(), u, sent)
+		p.reach.RecordFailure(p.now(), a)
 		select {
 		case p.reachFailed <- struct{}{}:
 		default:
@@ -78,9 +78,12 @@
 	}
 	p.forgetFailures()
 	if isolated {
-		p.poison.WithdrawCrashes(p.now(), p.now().Add(-time.Duration(before.FailingMillis)*time.Millisecond))
-		klog.InfoS("isolated: no upstream answers this entry, but upstreams answer others", "failing_upstreams", before.FailingUpstreams,
-			"failing_domains", before.FailingDomains, "last_answer_ms", before.LastAnswerMillis, "peers_answered", before.PeersAnswered)
+		failingFor := time.Duration(max(before.Silent.Millis, before.Unconnected.Millis)) * time.Millisecond
+		p.poison.WithdrawCrashes(p.now(), p.now().Add(-failingFor))
+		klog.InfoS("isolated: no upstream answers this entry on new connections, but upstreams answer others",
+			"silent_upstreams", before.Silent.Upstreams, "silent_domains", before.Silent.Domains, "silent_ms", before.Silent.Millis,
+			"unconnected_upstreams", before.Unconnected.Upstreams, "unconnected_domains", before.Unconnected.Domains, "unconnected_ms", before.Unconnected.Millis,
+			"last_answer_ms", before.LastAnswerMillis, "peers_answered", before.PeersAnswered)
 		return
 	}
 	klog.InfoS("isolation ended", "took_ms", before.IsolatedMillis, "last_answer_ms", before.LastAnswerMillis, "peers_answered", before.PeersAnswered)
--- a/internal/forward/writetracker.go
+++ b/internal/forward/writetracker.go
@@ -90,6 +90,13 @@
 	return w.conn.connectTime
 }
 
+// newConnection reports whether the attempt used no connection that had served a request before.
+func (w *writeTracker) newConnection() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.reused
+}
+
 // nothingWritten reports whether the attempt wrote nothing. If so, it makes later writes fail.
 // It is called after RoundTrip returned an error.
 func (w *writeTracker) nothingWritten() bool {
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -17,15 +17,20 @@
 	// must have failed without an answer. A failure domain can be lost as a whole.
 	minUpstreams = 3
 	minDomains   = 2
-	// minFailing is the shortest time for which failures must continue. A fault that resets all
-	// connections of an instance at once is over by then.
-	minFailing = 200 * time.Millisecond
+	// minSilent and minUnconnected are the shortest times for which failures must continue: without
+	// any answer, and while open connections still work. A fault that resets all connections of an
+	// instance at once is over by then.
+	minSilent      = 200 * time.Millisecond
+	minUnconnected = 500 * time.Millisecond
 	// peerDelay is how long after the first failure a peer must report answers. Answers that it
 	// reports earlier may have arrived before the upstreams failed for all entries.
 	peerDelay = AnswerWindow + 200*time.Millisecond
 	// peerTimeout is the time without reports of answers at peers after which isolation ends. If no
 	// entry is answered, the upstreams have failed, and other entries are of no help.
 	peerTimeout = 2 * time.Second
+	// peerGap is the time without reports of answers at peers after which failures from before do
+	// not count: the upstreams may have failed for all entries.
+	peerGap = time.Second
 	// returnUpstreams is the number of upstreams that must answer, without a failure in between,
 	// for isolation to end.
 	returnUpstreams = 2
@@ -50,14 +55,13 @@
 type Detector struct {
 	mu    sync.Mutex
 	known Known
-	// lastAnswer is the time of the last answer of any upstream.
-	lastAnswer time.Time
-	// failing holds the failure domains of the upstreams that failed since the last answer, and
-	// firstFailure and lastFailure are the times of these failures.
-	failing                   map[string]string
-	firstFailure, lastFailure time.Time
-	// peerAnswers has the time at which each peer last reported recent answers.
+	// silent holds the failures since the last answer, unconnected those on new connections since
+	// the last answer on a new connection.
+	silent, unconnected streak
+	// peerAnswers has the time at which each peer last reported recent answers. peersSince is since
+	// when there have been such reports without a gap.
 	peerAnswers map[string]time.Time
+	peersSince  time.Time
 	// since is the start of the isolation; zero if the entry is not isolated. answering holds the
 	// upstreams that have answered since the last failure during it.
 	since     time.Time
@@ -68,7 +72,7 @@
 
 // NewDetector returns a Detector without any results.
 func NewDetector() *Detector {
-	return &Detector{failing: make(map[string]string), peerAnswers: make(map[string]time.Time), answering: make(map[string]bool)}
+	return &Detector{silent: newStreak(minSilent), unconnected: newStreak(minUnconnected), peerAnswers: make(map[string]time.Time), answering: make(map[string]bool)}
 }
 
 // SetKnown sets the numbers of known upstreams and failure domains.
@@ -78,45 +82,52 @@
 	d.known = k
 }
 
-// RecordAnswer records a response of any kind to an attempt that was sent at sent.
-func (d *Detector) RecordAnswer(now time.Time, u Upstream, sent time.Time) {
+// Attempt is a request or health check that was sent to an upstream.
+type Attempt struct {
+	Upstream Upstream
+	// Sent is when the attempt began.
+	Sent time.Time
+	// NewConnection is set if no open connection was used.
+	NewConnection bool
+}
+
+// RecordAnswer records a response of any kind.
+func (d *Detector) RecordAnswer(now time.Time, a Attempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answers++
-	if !d.since.IsZero() && !sent.After(d.since) {
-		// The response was on its way when the links failed.
-		return
-	}
-	d.lastAnswer = now
 	if d.since.IsZero() {
-		clear(d.failing)
+		d.silent.end(now)
+		if a.NewConnection {
+			d.unconnected.end(now)
+		}
 		return
 	}
-	d.answering[u.ID] = true
+	// Responses to earlier attempts were on their way when the links failed.
+	if a.NewConnection && a.Sent.After(d.since) {
+		d.answering[a.Upstream.ID] = true
+	}
 }
 
-// RecordFailure records an attempt, sent at sent, that found no connection or whose connection
-// broke. An attempt that was sent before the last answer is ignored: the connection may have
-// broken before that answer.
-func (d *Detector) RecordFailure(now time.Time, u Upstream, sent time.Time) {
+// RecordFailure records an attempt that found no connection or whose connection broke.
+func (d *Detector) RecordFailure(now time.Time, a Attempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.failures++
-	if !sent.After(d.lastAnswer) {
-		return
-	}
-	if len(d.failing) == 0 {
-		d.firstFailure = now
+	d.silent.add(now, a)
+	if a.NewConnection {
+		d.unconnected.add(now, a)
+		clear(d.answering)
 	}
-	d.failing[u.ID] = u.Domain
-	d.lastFailure = now
-	clear(d.answering)
 }
 
 // RecordPeerAnswers records a peer's report that upstreams have answered it recently.
 func (d *Detector) RecordPeerAnswers(now time.Time, peer string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now.Sub(d.lastPeerAnswer(now)) >= peerGap {
+		d.peersSince = now
+	}
 	d.peerAnswers[peer] = now
 }
 
@@ -126,7 +137,7 @@
 	defer d.mu.Unlock()
 	peersAt := d.lastPeerAnswer(now)
 	if d.since.IsZero() {
-		if !d.failsEverywhere() || peersAt.Before(d.firstFailure.Add(peerDelay)) {
+		if !d.showsIsolation(&d.silent, peersAt) && !d.showsIsolation(&d.unconnected, peersAt) {
 			return false, false
 		}
 		d.since = now
@@ -138,20 +149,16 @@
 		return true, false
 	}
 	d.since = time.Time{}
-	clear(d.failing)
+	d.silent.end(now)
+	d.unconnected.end(now)
 	clear(d.answering)
 	return false, true
 }
 
-// failsEverywhere reports whether the failures since the last answer show that no upstream can be
-// reached. The caller holds d.mu.
-func (d *Detector) failsEverywhere() bool {
-	domains := make(map[string]bool)
-	for _, domain := range d.failing {
-		domains[domain] = true
-	}
-	return len(d.failing) >= min(minUpstreams, d.known.Upstreams) && len(d.failing) > 1 &&
-		len(domains) >= min(minDomains, d.known.Domains) && d.lastFailure.Sub(d.firstFailure) >= minFailing
+// showsIsolation reports whether failures lie at upstreams everywhere while peers are answered, as
+// of the time at which peers last said so. The caller holds d.mu.
+func (d *Detector) showsIsolation(s *streak, peersAt time.Time) bool {
+	return s.everywhere(d.known, d.peersSince) && !peersAt.Before(s.first.Add(peerDelay))
 }
 
 // lastPeerAnswer returns the time of the last report of answers by a peer, and drops older reports.
@@ -181,7 +188,15 @@
 func (d *Detector) Suspected(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.since.IsZero() || len(d.failing) > 0 && now.Sub(d.firstFailure) < maxSuspicion
+	if !d.since.IsZero() {
+		return true
+	}
+	for _, s := range []*streak{&d.silent, &d.unconnected} {
+		if len(s.failing) > 0 && s.lastsFor(now) < maxSuspicion {
+			return true
+		}
+	}
+	return false
 }
 
 // LoadSuspect reports whether this entry's requests at upstreams may not be there: attempts have
@@ -189,14 +204,15 @@
 func (d *Detector) LoadSuspect(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.since.IsZero() || len(d.failing) > 0 && now.Sub(d.firstFailure) >= loadSuspectAfter
+	return !d.since.IsZero() || d.silent.lastsFor(now) >= loadSuspectAfter
 }
 
-// Failing reports whether attempts have failed without an answer since.
+// Failing reports whether attempts, or those on new connections, have failed without an answer
+// since.
 func (d *Detector) Failing() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.failing) > 0
+	return len(d.silent.failing) > 0 || len(d.unconnected.failing) > 0
 }
 
 // Answered reports whether this entry, or a peer that peers selects, has recently been answered by
@@ -204,7 +220,7 @@
 func (d *Detector) Answered(now time.Time, own bool, peers func(peer string) bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if own && d.since.IsZero() && !d.lastAnswer.IsZero() && now.Sub(d.lastAnswer) < AnswerWindow {
+	if own && d.since.IsZero() && !d.silent.endedAt.IsZero() && now.Sub(d.silent.endedAt) < AnswerWindow {
 		return true
 	}
 	if peers == nil {
@@ -230,12 +246,10 @@
 	Answers          int64 `json:"answers"`
 	Failures         int64 `json:"failures"`
 	LastAnswerMillis int64 `json:"last_answer_ms"`
-	// FailingUpstreams and FailingDomains are the numbers of upstreams that failed since the last
-	// answer, and of their failure domains.
-	FailingUpstreams int `json:"failing_upstreams"`
-	FailingDomains   int `json:"failing_domains"`
-	// FailingMillis is the time since the first of these failures; 0 without any.
-	FailingMillis int64 `json:"failing_ms"`
+	// Silent describes the failures since the last answer, Unconnected those on new connections
+	// since the last answer on a new connection.
+	Silent      StreakStatus `json:"silent"`
+	Unconnected StreakStatus `json:"unconnected"`
 	// PeersAnswered is the number of peers that recently reported answers. A hub of entries counts
 	// as one.
 	PeersAnswered int `json:"peers_answered"`
@@ -245,20 +259,15 @@
 func (d *Detector) Status(now time.Time) Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := Status{Isolated: !d.since.IsZero(), Isolations: d.isolations, Answers: d.answers, Failures: d.failures, LastAnswerMillis: -1, FailingUpstreams: len(d.failing)}
+	s := Status{
+		Isolated: !d.since.IsZero(), Isolations: d.isolations, Answers: d.answers, Failures: d.failures, LastAnswerMillis: -1,
+		Silent: d.silent.status(now), Unconnected: d.unconnected.status(now),
+	}
 	if s.Isolated {
 		s.IsolatedMillis = now.Sub(d.since).Milliseconds()
 	}
-	if !d.lastAnswer.IsZero() {
-		s.LastAnswerMillis = now.Sub(d.lastAnswer).Milliseconds()
-	}
-	domains := make(map[string]bool)
-	for _, domain := range d.failing {
-		domains[domain] = true
-	}
-	s.FailingDomains = len(domains)
-	if len(d.failing) > 0 {
-		s.FailingMillis = now.Sub(d.firstFailure).Milliseconds()
+	if !d.silent.endedAt.IsZero() {
+		s.LastAnswerMillis = now.Sub(d.silent.endedAt).Milliseconds()
 	}
 	for _, at := range d.peerAnswers {
 		if now.Sub(at) < peerTimeout {
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -12,6 +12,8 @@
 	what string
 	// upstream is the number of an upstream; its failure domain is upstream modulo 3.
 	upstream int
+	// reused is set if an open connection was used.
+	reused bool
 }
 
 const (
@@ -27,9 +29,9 @@
 		u := Upstream{ID: fmt.Sprint("u", e.upstream), Domain: fmt.Sprint("d", e.upstream%3)}
 		switch e.what {
 		case answers:
-			d.RecordAnswer(now, u, now.Add(-10*time.Millisecond))
+			d.RecordAnswer(now, Attempt{u, now.Add(-10 * time.Millisecond), !e.reused})
 		case fails:
-			d.RecordFailure(now, u, now.Add(-time.Millisecond))
+			d.RecordFailure(now, Attempt{u, now.Add(-time.Millisecond), !e.reused})
 		case peer:
 			d.RecordPeerAnswers(now, "p")
 		}
@@ -41,9 +43,9 @@
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func TestIsolation(t *testing.T) {
-	cut := []event{{0, answers, 0}, {ms(100), fails, 1}, {ms(200), fails, 2}, {ms(400), fails, 3}}
+	cut := []event{{0, peer, 0, false}, {0, answers, 0, false}, {ms(100), fails, 1, false}, {ms(200), fails, 2, false}, {ms(400), fails, 3, false}}
 	with := func(events []event, more ...event) []event { return append(append([]event{}, events...), more...) }
-	isolated := with(cut, event{ms(850), peer, 0})
+	isolated := with(cut, event{ms(850), peer, 0, false})
 	for name, c := range map[string]struct {
 		known  Known
 		events []event
@@ -51,17 +53,20 @@
 	}{
 		"failures everywhere while a peer is answered": {Known{18, 6}, isolated, true},
 		"no peer is answered":                          {Known{18, 6}, cut, false},
-		"a peer was answered before the failures only": {Known{18, 6}, with(cut, event{ms(500), peer, 0}), false},
-		"an answer in between":                         {Known{18, 6}, []event{{ms(100), fails, 1}, {ms(200), fails, 2}, {ms(300), answers, 4}, {ms(400), fails, 3}, {ms(1200), peer, 0}}, false},
-		"all at one moment":                            {Known{18, 6}, []event{{ms(100), fails, 1}, {ms(101), fails, 2}, {ms(102), fails, 3}, {ms(900), peer, 0}}, false},
-		"one failure domain of several":                {Known{18, 6}, []event{{ms(100), fails, 1}, {ms(200), fails, 4}, {ms(400), fails, 7}, {ms(900), peer, 0}}, false},
-		"the only failure domain":                      {Known{18, 1}, []event{{ms(100), fails, 1}, {ms(200), fails, 4}, {ms(400), fails, 7}, {ms(900), peer, 0}}, true},
-		"one upstream again and again":                 {Known{18, 6}, []event{{ms(100), fails, 1}, {ms(300), fails, 1}, {ms(500), fails, 1}, {ms(900), peer, 0}}, false},
-		"the only upstream":                            {Known{1, 1}, []event{{ms(100), fails, 1}, {ms(300), fails, 1}, {ms(900), peer, 0}}, false},
-		"one upstream answers again":                   {Known{18, 6}, with(isolated, event{ms(900), answers, 1}), true},
-		"two upstreams answer again":                   {Known{18, 6}, with(isolated, event{ms(900), answers, 1}, event{ms(950), answers, 2}), false},
-		"answers with a failure in between":            {Known{18, 6}, with(isolated, event{ms(900), answers, 1}, event{ms(950), fails, 3}, event{ms(990), answers, 2}), true},
-		"peers are answered no more":                   {Known{18, 6}, with(isolated, event{ms(2900), fails, 1}), false},
+		"a peer was answered before the failures only": {Known{18, 6}, with(cut, event{ms(500), peer, 0, false}), false},
+		"an answer in between":                         {Known{18, 6}, []event{{0, peer, 0, false}, {ms(100), fails, 1, false}, {ms(200), fails, 2, false}, {ms(300), answers, 4, false}, {ms(400), fails, 3, false}, {ms(1200), peer, 0, false}}, false},
+		"all at one moment":                            {Known{18, 6}, []event{{0, peer, 0, false}, {ms(100), fails, 1, false}, {ms(101), fails, 2, false}, {ms(102), fails, 3, false}, {ms(900), peer, 0, false}}, false},
+		"one failure domain of several":                {Known{18, 6}, []event{{0, peer, 0, false}, {ms(100), fails, 1, false}, {ms(200), fails, 4, false}, {ms(400), fails, 7, false}, {ms(900), peer, 0, false}}, false},
+		"the only failure domain":                      {Known{18, 1}, []event{{0, peer, 0, false}, {ms(100), fails, 1, false}, {ms(200), fails, 4, false}, {ms(400), fails, 7, false}, {ms(900), peer, 0, false}}, true},
+		"one upstream again and again":                 {Known{18, 6}, []event{{0, peer, 0, false}, {ms(100), fails, 1, false}, {ms(300), fails, 1, false}, {ms(500), fails, 1, false}, {ms(900), peer, 0, false}}, false},
+		"the only upstream":                            {Known{1, 1}, []event{{0, peer, 0, false}, {ms(100), fails, 1, false}, {ms(300), fails, 1, false}, {ms(900), peer, 0, false}}, false},
+		"open connections live on":                     {Known{18, 6}, []event{{0, peer, 0, false}, {ms(100), fails, 1, false}, {ms(200), fails, 2, false}, {ms(250), answers, 4, true}, {ms(700), fails, 3, false}, {ms(750), answers, 4, true}, {ms(900), peer, 0, false}}, true},
+		"open connections break, new ones work":        {Known{18, 6}, []event{{0, peer, 0, false}, {ms(100), fails, 1, true}, {ms(200), fails, 2, true}, {ms(250), answers, 4, false}, {ms(700), fails, 3, true}, {ms(900), peer, 0, false}}, false},
+		"peers are answered again after an outage":     {Known{18, 6}, []event{{ms(100), fails, 1, false}, {ms(200), fails, 2, false}, {ms(700), fails, 3, false}, {ms(5000), peer, 0, false}}, false},
+		"one upstream answers again":                   {Known{18, 6}, with(isolated, event{ms(900), answers, 1, false}), true},
+		"two upstreams answer again":                   {Known{18, 6}, with(isolated, event{ms(900), answers, 1, false}, event{ms(950), answers, 2, false}), false},
+		"answers with a failure in between":            {Known{18, 6}, with(isolated, event{ms(900), answers, 1, false}, event{ms(950), fails, 3, false}, event{ms(990), answers, 2, false}), true},
+		"peers are answered no more":                   {Known{18, 6}, with(isolated, event{ms(2900), fails, 1, false}), false},
 	} {
 		d := NewDetector()
 		d.SetKnown(c.known)
@@ -76,8 +81,8 @@
 func TestOlderAttemptsAreNoEvidence(t *testing.T) {
 	d := NewDetector()
 	now := time.Unix(1000, 0)
-	d.RecordAnswer(now, Upstream{"u0", "d0"}, now.Add(-ms(100)))
-	d.RecordFailure(now.Add(ms(10)), Upstream{"u1", "d1"}, now.Add(-ms(50)))
+	d.RecordAnswer(now, Attempt{Upstream{"u0", "d0"}, now.Add(-ms(100)), true})
+	d.RecordFailure(now.Add(ms(10)), Attempt{Upstream{"u1", "d1"}, now.Add(-ms(50)), true})
 	if d.Failing() || d.Suspected(now.Add(ms(10))) {
 		t.Error("an attempt from before the last answer counts as a failure since")
 	}
@@ -86,7 +91,7 @@
 func TestSuspicionEnds(t *testing.T) {
 	d := NewDetector()
 	now := time.Unix(1000, 0)
-	d.RecordFailure(now, Upstream{"u1", "d1"}, now.Add(-ms(1)))
+	d.RecordFailure(now, Attempt{Upstream{"u1", "d1"}, now.Add(-ms(1)), true})
 	if !d.Suspected(now) {
 		t.Error("a failure without an answer is not suspected")
 	}
@@ -108,7 +113,7 @@
 	if !d.Answered(now, false, func(p string) bool { return p == "a" }) {
 		t.Error("the answers of a selected peer are not reported")
 	}
-	d.RecordAnswer(now, Upstream{"u1", "d1"}, now.Add(-ms(1)))
+	d.RecordAnswer(now, Attempt{Upstream{"u1", "d1"}, now.Add(-ms(1)), true})
 	if !d.Answered(now, true, nil) || d.Answered(now, false, nil) || d.Answered(now.Add(AnswerWindow), true, nil) {
 		t.Error("own answers are not reported as recent for AnswerWindow")
 	}
