--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -39,10 +39,8 @@
 	inFlightKeys *poison.Keys
 	// failedRegion is the region of the last failed attempt.
 	failedRegion string
-	// handover says which entry handed the request over to this one; nil if none did. noPeer is set
-	// once no peer could take the request.
+	// handover says which entry handed the request over to this one; nil if none did.
 	handover *handover
-	noPeer   bool
 	// outcome joins the verdicts of the attempts so far.
 	outcome verdict.Verdict
 }
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -204,10 +204,16 @@
 }
 
 func newEntry(t testing.TB, fakes []*fakeUpstream, edits ...tree.Edit) *entry {
+	t.Helper()
+	return newEntryWith(t, func(*Options) {}, fakes, edits...)
+}
+
+// newEntryWith returns an entry whose options were changed.
+func newEntryWith(t testing.TB, change func(*Options), fakes []*fakeUpstream, edits ...tree.Edit) *entry {
 	t.Helper()
 	n := 0
 	var mu sync.Mutex
-	c := New(Options{
+	opt := Options{
 		MaxInFlight: 100,
 		Now:         time.Now,
 		CapShares:   share.NewLimiter(),
@@ -219,7 +225,9 @@
 			return fmt.Sprint("own-", n)
 		},
 		Observe: func(Outcome) {},
-	})
+	}
+	change(&opt)
+	c := New(opt)
 	in := model.Input{Region: "muscat", Revision: 1, Tree: new(tree.Tree).Apply(edits, 1)}
 	in.Members = []membership.Member{{ID: "n1", State: membership.Alive, Region: "muscat", Entry: "10.0.0.1:80"}}
 	for i, f := range fakes {
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -21,12 +21,14 @@
 	maxPeers = 3
 	// handoverMargin is taken off the deadline that a peer gets, for the way back of its response.
 	handoverMargin = 20 * time.Millisecond
+	// isolatedRetryAfter is the Retry-After time of an isolated entry.
+	isolatedRetryAfter = 500 * time.Millisecond
 	// maxPeerReply is the largest body in bytes of a response that a peer generated itself.
 	maxPeerReply = 16 << 10
 )
 
-// reasonIsolated means that the entry is isolated and may not pass the request on, because it has
-// already been handed over once.
+// reasonIsolated means that the entry is isolated, and that no peer can take the request or that a
+// peer handed it over.
 const reasonIsolated = "entry-isolated"
 
 // Reasons of an entry that is stopping or has no configuration yet.
@@ -38,9 +40,9 @@
 var handoverLog = logs.NewLimiter(1, 10)
 
 // shouldHandOver reports whether a request is to be handed over to a peer: this entry is isolated,
-// the request was not handed over before, and there may be a peer that can take it.
+// and the request was not handed over before.
 func (p *Proxy) shouldHandOver(cl *call) bool {
-	return p.opt.Peers != nil && cl.handover == nil && !cl.noPeer && p.reach.Isolated()
+	return p.opt.Peers != nil && cl.handover == nil && p.reach.Isolated()
 }
 
 // mayHandOver reports whether a request that failed with err may be handed over to a peer instead.
@@ -58,7 +60,7 @@
 	default:
 		return false
 	}
-	return p.opt.Peers != nil && cl.handover == nil && !cl.noPeer && p.reach.Failing() && p.peersAnswered() && state.budget.TryWithdraw()
+	return p.opt.Peers != nil && cl.handover == nil && p.reach.Failing() && p.peersAnswered() && state.budget.TryWithdraw()
 }
 
 // peersAnswered reports whether upstreams have recently answered another entry.
@@ -74,7 +76,7 @@
 	cl.charged = false
 	var tried []string
 	for len(tried) < maxPeers && ctx.Err() == nil {
-		peer, ok := p.peers.pick(p.now(), p.opt.Peers(), p.snap.Load().Region, cl.allows, tried)
+		peer, ok := p.peers.pick(p.now(), p.peers.known(p.now(), p.opt.Peers), p.snap.Load().Region, cl.allows, tried)
 		if !ok {
 			break
 		}
@@ -108,10 +110,14 @@
 			return true
 		}
 	}
-	cl.noPeer = true
 	return false
 }
 
+// isolatedReply returns the response of an isolated entry to a request that it cannot hand over.
+func isolatedReply() *localReply {
+	return &localReply{status: http.StatusServiceUnavailable, reason: reasonIsolated, verdict: verdict.NotRun, retryAfter: isolatedRetryAfter}
+}
+
 // logHandoverFailure logs that a peer could not be reached or broke off.
 func (p *Proxy) logHandoverFailure(cl *call, peer model.Member, err *verdict.Error) {
 	if left, ok := handoverLog.Allow(p.now(), peer.ID); ok {
--- a/internal/forward/peers.go
+++ b/internal/forward/peers.go
@@ -16,6 +16,8 @@
 	// minLocalPeers is the share of a region's entries that must be usable for handovers to stay in
 	// the region. With fewer, each would get several times its usual load.
 	minLocalPeers = 1.0 / 3
+	// peersLifetime is how long the list of peers is kept. Reports change it ten times a second.
+	peersLifetime = 100 * time.Millisecond
 )
 
 // peerPicker chooses the peers to which requests are handed over. It is safe for concurrent use.
@@ -26,12 +28,25 @@
 	inFlight                     map[string]int
 	avoidUntil, avoidDomainUntil map[string]time.Time
 	handedOver                   int64
+	// peers is the list as of peersAt.
+	peers   Peers
+	peersAt time.Time
 }
 
 func newPeerPicker() *peerPicker {
 	return &peerPicker{inFlight: make(map[string]int), avoidUntil: make(map[string]time.Time), avoidDomainUntil: make(map[string]time.Time)}
 }
 
+// known returns the peers. It calls list if it has not done so for peersLifetime.
+func (s *peerPicker) known(now time.Time, list func() Peers) Peers {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.peersAt) >= peersLifetime {
+		s.peers, s.peersAt = list(), now
+	}
+	return s.peers
+}
+
 // pick returns the less loaded of two peers chosen at random among those that may get the request:
 // in the own region if enough entries are left there. allows reports whether a region may handle
 // the request; nil allows all. Peers whose IDs are in tried are left out.
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -326,7 +326,7 @@
 	cl.configVersion = snap.Revision
 	cl.applyHandover(received)
 	if received != nil && p.reach.Isolated() {
-		p.reply(w, r, cl.body, out, &localReply{status: http.StatusServiceUnavailable, reason: reasonIsolated, verdict: verdict.NotRun, retryAfter: isolatedRetryAfter})
+		p.reply(w, r, cl.body, out, isolatedReply())
 		return
 	}
 	if limit := p.maxBody(snap); limit > 0 {
@@ -386,9 +386,6 @@
 	reply.write(w, p.opt.Protocol, out.ID)
 }
 
-// isolatedRetryAfter is the Retry-After time of an isolated entry.
-const isolatedRetryAfter = 500 * time.Millisecond
-
 // unavailableRetryAfter is the Retry-After time where no better estimate exists.
 const unavailableRetryAfter = time.Second
 
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -42,7 +42,10 @@
 			p.reply(w, r, cl.body, out, reply.withOutcome(last, cl.outcome))
 			return
 		}
-		if p.shouldHandOver(cl) && p.handOver(ctx, w, r, cl, state, out) {
+		if p.shouldHandOver(cl) {
+			if !p.handOver(ctx, w, r, cl, state, out) {
+				p.reply(w, r, cl.body, out, isolatedReply().withOutcome(last, cl.outcome))
+			}
 			return
 		}
 		choice, err := p.acquire(ctx, cl, state, regions, mustWait)
