--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -67,7 +67,13 @@
 // upstream reported that it did not run the request.
 func (p *Proxy) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*upstreamResponse, *verdict.Error) {
 	sent := p.now()
-	resp, writes, verr := p.roundTrip(ctx, r, cl, to.Address, func(h http.Header) {
+	sending := ctx
+	if cl.Idempotent {
+		var done func()
+		sending, done = p.abandonable.add(ctx)
+		defer done()
+	}
+	resp, writes, verr := p.roundTrip(ctx, sending, r, cl, to.Address, func(h http.Header) {
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
 	})
 	p.recordReach(&to.Upstream, sent, writes.newConnection(), verr)
@@ -94,14 +100,15 @@
 }
 
 // roundTrip sends the call to an address, with a copy of the caller's headers that setHeaders has
-// changed, and returns the response and what was written.
-func (p *Proxy) roundTrip(ctx context.Context, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *writeTracker, *verdict.Error) {
+// changed, and returns the response and what was written. sending is the context of the exchange,
+// derived from ctx; the connection counts as broken if it ends first.
+func (p *Proxy) roundTrip(ctx, sending context.Context, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *writeTracker, *verdict.Error) {
 	body, ok := cl.body.attach(ctx)
 	if !ok {
 		return nil, new(writeTracker), verdict.New(verdict.NotRun, reasonNotRepeatable, nil)
 	}
 	writes := new(writeTracker)
-	sending := writes.withTrace(ctx)
+	sending = writes.withTrace(sending)
 	if !cl.Idempotent {
 		sending = withNonIdempotent(sending)
 	}
--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -37,7 +37,8 @@
 	for ms := -1500; ms <= 0; ms += 100 {
 		d.RecordPeerAnswers(at(ms), "peer")
 	}
-	if isolated, _ := d.Evaluate(now); !isolated {
+	e.evaluateReach()
+	if !d.Isolated() {
 		t.Fatal("the entry is not isolated")
 	}
 }
@@ -91,6 +92,31 @@
 	}
 }
 
+// TestRequestsInFlightMoveToPeers isolates an entry while a request that is safe to repeat is at an
+// upstream that does not answer.
+func TestRequestsInFlightMoveToPeers(t *testing.T) {
+	started, end := make(chan struct{}), make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-end
+	}))
+	defer silent.Close()
+	defer close(end)
+	fake := newFakeUpstream(t)
+	peer := newPeer(t, fake)
+	e := newEntryWith(t, func(o *Options) {
+		o.Self = "n1"
+		o.Peers = func() Peers { return Peers{Usable: []model.Member{peerOf("n2", peer.url)}, InRegion: 2} }
+	}, []*fakeUpstream{{lis: silent.Listener}})
+	answer := make(chan result, 1)
+	go func() { answer <- e.send(t, "GET", "/x", "") }()
+	<-started
+	isolate(t, e)
+	if a := <-answer; a.status != http.StatusOK || len(fake.received()) != 1 {
+		t.Errorf("status %d: %s", a.status, a.body)
+	}
+}
+
 // TestHandoverIsOneHop hands a request over to an entry that is isolated itself. It must refuse the
 // request, and the next peer gets it.
 func TestHandoverIsOneHop(t *testing.T) {
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -140,6 +140,7 @@
 	// reachFailed receives a value after an attempt found no connection or broke.
 	reachFailed chan struct{}
 	peers       *peerPicker
+	abandonable *abandonableSet
 	// handoversReceived counts the requests that other entries handed over to this one.
 	handoversReceived atomic.Int64
 	// urgentLimitUpdates receives a value when limit updates should be sent to other
@@ -173,7 +174,7 @@
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	p := &Proxy{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, services: make(map[string]*serviceState), splits: newSplits(), buffers: buffers{limit: opt.MaxBuffered}, rollouts: rollout.NewTracker(), poison: poison.NewTracker(opt.Self), organisationLimits: quota.NewLimiter(), deadlines: newDeadlineSet(), reach: reach.NewDetector(), reachFailed: make(chan struct{}, 1), peers: newPeerPicker(), urgentLimitUpdates: make(chan struct{}, 1),
+	p := &Proxy{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, services: make(map[string]*serviceState), splits: newSplits(), buffers: buffers{limit: opt.MaxBuffered}, rollouts: rollout.NewTracker(), poison: poison.NewTracker(opt.Self), organisationLimits: quota.NewLimiter(), deadlines: newDeadlineSet(), reach: reach.NewDetector(), reachFailed: make(chan struct{}, 1), peers: newPeerPicker(), abandonable: newAbandonableSet(), urgentLimitUpdates: make(chan struct{}, 1),
 		upstreamLimitLog: logs.NewLimiter(upstreamLimitLogsPerSecond, upstreamLimitLogBurst)}
 	if opt.TLS != nil {
 		p.scheme = "https"
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -78,6 +78,7 @@
 	}
 	p.forgetFailures()
 	if isolated {
+		p.abandonable.cancelAll()
 		failingFor := time.Duration(max(before.Silent.Millis, before.Unconnected.Millis)) * time.Millisecond
 		p.poison.WithdrawCrashes(p.now(), p.now().Add(-failingFor))
 		klog.InfoS("isolated: no upstream answers this entry on new connections, but upstreams answer others",
