--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -9,9 +9,11 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/header"
 	"github.com/loomkeel/loomkeel/internal/membership"
 	"github.com/loomkeel/loomkeel/internal/model"
@@ -31,6 +33,7 @@
 	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	d := e.Reach()
 	d.SetKnown(reach.Known{Upstreams: 3, Domains: 2})
+	d.RecordAnswer(at(-1400), reach.Attempt{NewConnection: true})
 	for i := range 3 {
 		d.RecordFailure(at(-1200+100*i), reach.Attempt{Upstream: reach.Upstream{ID: fmt.Sprint("u", i), Domain: fmt.Sprint("d", i%2)}, Sent: at(-1300 + 100*i), NewConnection: true})
 	}
@@ -287,3 +290,79 @@
 		t.Errorf("no region is allowed: %v", got)
 	}
 }
+
+// TestDomainOfIsolatedPeerIsAvoided checks that a peer that is isolated itself keeps its failure
+// domain from being chosen for a while, and one that cannot be reached only itself.
+func TestDomainOfIsolatedPeerIsAvoided(t *testing.T) {
+	now := time.Now()
+	peers := Peers{InRegion: 3}
+	for _, id := range []string{"a1", "a2", "b1"} {
+		peers.Usable = append(peers.Usable, model.Member{ID: id, Region: "muscat", Domain: id[:1], Entry: "10.0.0.1:80"})
+	}
+	chosen := func(s *peerPicker, at time.Time) map[string]bool {
+		out := make(map[string]bool)
+		for range 100 {
+			if m, ok := s.pick(at, peers, "muscat", nil, nil); ok {
+				out[m.ID] = true
+			}
+		}
+		return out
+	}
+	s := newPeerPicker()
+	s.avoid(peers.Usable[0], true, now)
+	if got := chosen(s, now); len(got) != 1 || !got["b1"] {
+		t.Errorf("beside an isolated peer: %v", got)
+	}
+	if got := chosen(s, now.Add(peerAvoidTime)); len(got) != 3 {
+		t.Errorf("later: %v", got)
+	}
+	s = newPeerPicker()
+	s.avoid(peers.Usable[0], false, now)
+	if got := chosen(s, now); len(got) != 2 || got["a1"] {
+		t.Errorf("beside an unreachable peer: %v", got)
+	}
+}
+
+// TestIsolatedEntryReportsNoLoad checks that other entries are told neither of requests that hang at
+// an isolated entry nor of failures, and that failures are withheld while the entry's links are
+// suspected.
+func TestIsolatedEntryReportsNoLoad(t *testing.T) {
+	var started atomic.Int64
+	end := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		started.Add(1)
+		<-end
+	}))
+	defer silent.Close()
+	defer close(end)
+	e := newEntry(t, []*fakeUpstream{{lis: silent.Listener}, newUnreachableUpstream(t)})
+	visited := func() (requests int, failed float64) {
+		e.VisitLoads(balance.EntryFilter{Own: true}, func(_ uint32, l balance.Load) {
+			requests += l.Requests
+			failed += l.Failed
+		})
+		return requests, failed
+	}
+	send := func() {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/x", strings.NewReader("b"))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Header.Set(header.Service, "orders")
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	}
+	for started.Load() == 0 || !e.Reach().Failing() {
+		go send()
+		time.Sleep(10 * time.Millisecond)
+	}
+	if requests, failed := visited(); requests == 0 || failed != 0 {
+		t.Errorf("while the links are suspected: %d requests, %v failures reported", requests, failed)
+	}
+	isolate(t, e)
+	if requests, failed := visited(); requests != 0 || failed != 0 {
+		t.Errorf("while isolated: %d requests, %v failures reported", requests, failed)
+	}
+}
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -389,3 +389,25 @@
 	}, gen.SliceOfN(12, gen.IntRange(0, 104))))
 	properties.TestingRun(t)
 }
+
+// TestWithdrawnCrashes withdraws crashes that an entry saw because of its own links: the hold of the
+// request ends, also at a peer that was told of the crashes, and earlier crashes remain.
+func TestWithdrawnCrashes(t *testing.T) {
+	f := newFleet(2)
+	k := keysOf("/x", "caller")
+	f[0].RecordCrash(at(0), k, k, 1)
+	for u := uint32(2); u <= 3; u++ {
+		f[0].RecordCrash(at(time.Minute), k, k, u)
+	}
+	if d := f[0].Begin(at(time.Minute), k); !d.Held {
+		t.Fatal("not held after three crashes")
+	}
+	f[0].WithdrawCrashes(at(time.Minute+time.Second), at(time.Minute))
+	f.exchange(at(time.Minute + time.Second))
+	f.checkHeld(t, at(time.Minute+time.Second), k, 0)
+	f[0].RecordCrash(at(2*time.Minute), k, k, 4)
+	f[0].RecordCrash(at(2*time.Minute), k, k, 5)
+	if d := f[0].Begin(at(2*time.Minute), k); !d.Held {
+		t.Error("the crash from before was withdrawn too")
+	}
+}
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -15,6 +15,7 @@
 	pkgInFlight = "./internal/inflight"
 	pkgQuota    = "./internal/quota"
 	pkgRollout  = "./internal/rollout"
+	pkgReach    = "./internal/reach"
 	// pkgRateLimit enforces the limits that upstreams announce.
 	pkgRateLimit = "./internal/ratelimit"
 )
@@ -261,6 +262,28 @@
 		"return in.JoinedSince\n", "return now\n", pkgBalance, "JoinedEarlier", nil},
 	{"nodes without requests put off compiling", "internal/node/snapshot.go",
 		"return n.view.HasRollouts() || !n.quiet()", "return true", "./internal/node", "QuietNode", nil},
+	{"isolated entries hand requests over", "internal/forward/handover.go",
+		"cl.handover == nil && p.reach.Isolated()", "false", pkgForward, "HandsOver", nil},
+	{"a request is handed over once", "internal/forward/proxy.go",
+		"if received != nil && p.reach.Isolated() {", "if false && received != nil {", pkgForward, "OneHop", nil},
+	{"requests in flight move to peers when isolation begins", "internal/forward/reach.go",
+		"p.abandonable.cancelAll()", "", pkgForward, "MoveToPeers", nil},
+	{"the failure domain of an isolated peer is avoided", "internal/forward/peers.go",
+		"s.avoidDomainUntil[peer.Domain] = now.Add(peerAvoidTime)", "", pkgForward, "DomainOfIsolatedPeer", nil},
+	{"an isolated entry reports no load", "internal/forward/status.go",
+		"whose.Own = whose.Own && !p.reach.LoadSuspect(now)", "", pkgForward, "ReportsNoLoad", nil},
+	{"failures are withheld while the entry's links are suspected", "internal/forward/status.go",
+		"whose.OmitOwnOutcomes = p.failuresSuspect()", "", pkgForward, "ReportsNoLoad", nil},
+	{"crashes seen by an isolated entry are withdrawn", "internal/poison/tracker.go",
+		"delete(r.ownCrashes, upstream)\n\t\t\t\tdelete(t.attributed, upstream)", "", pkgPoison, "Withdrawn", nil},
+	{"isolation needs answers at peers", "internal/reach/detector.go",
+		" && !peersAt.Before(s.first.Add(peerDelay))", "", pkgReach, "TestIsolation", nil},
+	{"failures from before peers were answered are no evidence", "internal/reach/streak.go",
+		"if f.sent.After(after) {", "if true {", pkgReach, "TestIsolation", nil},
+	{"answers on open connections do not hide that new ones fail", "internal/reach/detector.go",
+		"if a.NewConnection {\n\t\t\td.unconnected.end(now)\n\t\t}", "d.unconnected.end(now)", pkgReach, "TestIsolation", nil},
+	{"look-ups leave out isolated nodes", "internal/inflight/exchange.go",
+		"r.Leaving || r.Isolated", "r.Leaving", pkgPlatform, "LeaveOutIsolated", nil},
 	{"the boot clock advances during a suspension of the machine", "internal/bootclock/clock.go",
 		"c.suspended.Store(int64(suspended))", "_ = suspended", pkgForward, "Suspen", nil},
 }
