--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -92,6 +92,9 @@
 		if s := e.HandoverStatus(); s.Sent != 1 || s.InFlight != 0 {
 			t.Errorf("%s: the entry counts %+v", method, s)
 		}
+		if n := e.ReachStatus().Failures; n != 3 {
+			t.Errorf("%s: the isolated entry tried an upstream itself: %d failures, want the 3 of the evidence", method, n)
+		}
 	}
 }
 
@@ -133,7 +136,7 @@
 		t.Errorf("status %d, the upstream received %d requests", a.status, len(fake.received()))
 	}
 	both, _ := newIsolatedEntry(t, first, peerOf("n2", works.url))
-	for range 5 {
+	for range 40 {
 		if a := both.send(t, "POST", "/x", "b"); a.status != http.StatusOK {
 			t.Errorf("status %d: %s", a.status, a.body)
 		}
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -275,7 +275,7 @@
 	{"failures are withheld while the entry's links are suspected", "internal/forward/status.go",
 		"whose.OmitOwnOutcomes = p.failuresSuspect()", "", pkgForward, "ReportsNoLoad", nil},
 	{"crashes seen by an isolated entry are withdrawn", "internal/poison/tracker.go",
-		"delete(r.ownCrashes, upstream)\n\t\t\t\tdelete(t.attributed, upstream)", "", pkgPoison, "Withdrawn", nil},
+		"delete(r.ownCrashes, upstream)\n\t\t\t\tdelete(t.attributed, upstream)", "_ = upstream", pkgPoison, "Withdrawn", nil},
 	{"isolation needs answers at peers", "internal/reach/detector.go",
 		" && !peersAt.Before(s.first.Add(peerDelay))", "", pkgReach, "TestIsolation", nil},
 	{"failures from before peers were answered are no evidence", "internal/reach/streak.go",
