--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,8 +27,14 @@
 	return model.Member{ID: id, Region: "muscat", State: membership.Alive, Entry: strings.TrimPrefix(url, "http://")}
 }
 
-// isolate gives an entry the evidence of isolation.
+// isolate gives an entry the evidence of isolation: no answer at all.
 func isolate(t *testing.T, e *entry) {
+	t.Helper()
+	isolateWith(t, e, func(*reach.Detector, time.Time) {})
+}
+
+// isolateWith does the same with further evidence.
+func isolateWith(t *testing.T, e *entry, more func(d *reach.Detector, now time.Time)) {
 	t.Helper()
 	now := time.Now()
 	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
@@ -35,11 +42,12 @@
 	d.SetKnown(reach.Known{Upstreams: 3, Domains: 2})
 	d.RecordAnswer(at(-1400), reach.Attempt{NewConnection: true})
 	for i := range 3 {
-		d.RecordFailure(at(-1200+100*i), reach.Attempt{Upstream: reach.Upstream{ID: fmt.Sprint("u", i), Domain: fmt.Sprint("d", i%2)}, Sent: at(-1300 + 100*i), NewConnection: true})
+		d.RecordFailure(at(-1200+300*i), reach.Attempt{Upstream: reach.Upstream{ID: fmt.Sprint("u", i), Domain: fmt.Sprint("d", i%2)}, Sent: at(-1300 + 300*i), NewConnection: true})
 	}
 	for ms := -1500; ms <= 0; ms += 100 {
 		d.RecordPeerAnswers(at(ms), "peer")
 	}
+	more(d, now)
 	e.evaluateReach()
 	if !d.Isolated() {
 		t.Fatal("the entry is not isolated")
@@ -123,6 +131,34 @@
 	}
 }
 
+// TestRequestsOnOpenConnectionsStay isolates an entry whose open connections work, while a request is
+// at an upstream. The request must get its answer from there.
+func TestRequestsOnOpenConnectionsStay(t *testing.T) {
+	started, end := make(chan struct{}), make(chan struct{})
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-end
+		fmt.Fprint(w, "slow")
+	}))
+	defer slow.Close()
+	finish := sync.OnceFunc(func() { close(end) })
+	defer finish()
+	fake := newFakeUpstream(t)
+	peer := newPeer(t, fake)
+	e := newEntryWith(t, func(o *Options) {
+		o.Self = "n1"
+		o.Peers = func() Peers { return Peers{Usable: []model.Member{peerOf("n2", peer.url)}, InRegion: 2} }
+	}, []*fakeUpstream{{lis: slow.Listener}})
+	answer := make(chan result, 1)
+	go func() { answer <- e.send(t, "GET", "/x", "") }()
+	<-started
+	isolateWith(t, e, func(d *reach.Detector, now time.Time) { d.RecordAnswer(now, reach.Attempt{}) })
+	finish()
+	if a := <-answer; a.body != "slow" || len(fake.received()) != 0 {
+		t.Errorf("status %d: %s; the peer's upstream received %d requests", a.status, a.body, len(fake.received()))
+	}
+}
+
 // TestHandoverIsOneHop hands a request over to an entry that is isolated itself. It must refuse the
 // request, and the next peer gets it.
 func TestHandoverIsOneHop(t *testing.T) {
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -72,13 +72,16 @@
 // the entry has learnt about upstreams while it was cut off is dropped.
 func (p *Proxy) evaluateReach() {
 	before := p.ReachStatus()
+	silent := p.reach.LoadSuspect(p.now())
 	isolated, changed := p.reach.Evaluate(p.now())
 	if !changed {
 		return
 	}
 	p.forgetFailures()
 	if isolated {
-		p.abandonable.cancelAll()
+		if silent {
+			p.abandonable.cancelAll()
+		}
 		failingFor := time.Duration(max(before.Silent.Millis, before.Unconnected.Millis)) * time.Millisecond
 		p.poison.WithdrawCrashes(p.now(), p.now().Add(-failingFor))
 		klog.InfoS("isolated: no upstream answers this entry on new connections, but upstreams answer others",
