forward, reach: the fields of a new Proxy one a line, Peers beside the picker, two comments

Cause: read as a newcomer: one line of 600 characters built a Proxy, and the list of peers was declared away from its use. Change: layout and comments only. Conclusion: no behaviour changes.

--- a/internal/forward/peers.go
+++ b/internal/forward/peers.go
@@ -20,6 +20,14 @@
 	peersLifetime = 100 * time.Millisecond
 )
 
+// Peers are the other entries.
+type Peers struct {
+	// Usable are the entries that are live and not known to be stopping, silent or isolated.
+	Usable []model.Member
+	// InRegion is the number of all entries in the own region.
+	InRegion int
+}
+
 // peerPicker chooses the peers to which requests are handed over. It is safe for concurrent use.
 type peerPicker struct {
 	mu sync.Mutex
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -76,14 +76,6 @@
 	Observe func(Outcome)
 }
 
-// Peers are the other entries.
-type Peers struct {
-	// Usable are the entries that are live and not known to be stopping, silent or isolated.
-	Usable []model.Member
-	// InRegion is the number of all entries in the own region.
-	InRegion int
-}
-
 // Outcome describes a finished request, for metrics and logs.
 type Outcome struct {
 	// Service is the name of the requested service, and ID the request ID.
@@ -174,8 +166,25 @@
 	if opt.Rand == nil {
 		opt.Rand = newRand
 	}
-	p := &Proxy{opt: opt, now: opt.Now, scheme: "http", transport: opt.Transport, services: make(map[string]*serviceState), splits: newSplits(), buffers: buffers{limit: opt.MaxBuffered}, rollouts: rollout.NewTracker(), poison: poison.NewTracker(opt.Self), organisationLimits: quota.NewLimiter(), deadlines: newDeadlineSet(), reach: reach.NewDetector(), reachFailed: make(chan struct{}, 1), peers: newPeerPicker(), abandonable: newAbandonableSet(), urgentLimitUpdates: make(chan struct{}, 1),
-		upstreamLimitLog: logs.NewLimiter(upstreamLimitLogsPerSecond, upstreamLimitLogBurst)}
+	p := &Proxy{
+		opt:                opt,
+		now:                opt.Now,
+		scheme:             "http",
+		transport:          opt.Transport,
+		services:           make(map[string]*serviceState),
+		splits:             newSplits(),
+		buffers:            buffers{limit: opt.MaxBuffered},
+		rollouts:           rollout.NewTracker(),
+		poison:             poison.NewTracker(opt.Self),
+		organisationLimits: quota.NewLimiter(),
+		deadlines:          newDeadlineSet(),
+		reach:              reach.NewDetector(),
+		reachFailed:        make(chan struct{}, 1),
+		peers:              newPeerPicker(),
+		abandonable:        newAbandonableSet(),
+		urgentLimitUpdates: make(chan struct{}, 1),
+		upstreamLimitLog:   logs.NewLimiter(upstreamLimitLogsPerSecond, upstreamLimitLogBurst),
+	}
 	if opt.TLS != nil {
 		p.scheme = "https"
 	}
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -45,7 +45,7 @@
 // AnswerWindow is how long an answer is reported to other entries as recent.
 const AnswerWindow = 500 * time.Millisecond
 
-// Upstream identifies an upstream.
+// Upstream identifies an upstream; Domain is its failure domain.
 type Upstream struct{ ID, Domain string }
 
 // Known counts the upstreams that the entry may use, and their failure domains.
@@ -91,7 +91,8 @@
 	NewConnection bool
 }
 
-// RecordAnswer records a response of any kind.
+// RecordAnswer records a response of any kind. During isolation only responses on new connections
+// count, and only to attempts that began during it.
 func (d *Detector) RecordAnswer(now time.Time, a Attempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
