balance, forward: what an answer says about its upstream is one type, applied when its header is read

Change: balance.Announcement, Balancer.Observe and counts of announcements and of requests sent in spite of them (upstream_announcements); log lines for drains and backoffs. Retry-After is parsed with fractions and dates and is recorded; no request is placed by it yet, and Server-Leaving is still unknown.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -81,6 +81,7 @@
 	}
 	best.inFlight++
 	best.sent++
+	b.countSend(best, now)
 	b.spendLimit(best, now)
 	b.inFlight[best.Region]++
 	return c, nil
--- /dev/null
+++ b/internal/balance/announcement.go
@@ -0,0 +1,133 @@
+package balance
+
+import "time"
+
+// maxBackoff bounds the time for which an upstream can ask an entry to send nothing.
+const maxBackoff = time.Hour
+
+// Announcement is what one answer says about its upstream, regardless of the request that it
+// answers.
+type Announcement struct {
+	// Load is the number of requests at the upstream, and Waiting the number of those that wait
+	// there for a slot; -1 if the answer does not state them.
+	Load, Waiting int
+	// Slowdown is how many times as long as usual work takes at the upstream now; 0 if the answer
+	// does not state it.
+	Slowdown float64
+	// Limit is the rate limit that the answer states, or that it states none.
+	Limit RateLimit
+	// Draining is set if the upstream wants no new requests from any entry.
+	Draining bool
+	// Backoff is how long the upstream wants no requests from this entry; 0 if the answer does not
+	// ask for that.
+	Backoff time.Duration
+}
+
+// NoAnnouncement returns the Announcement of an answer that says nothing about its upstream.
+func NoAnnouncement() Announcement { return Announcement{Load: -1, Waiting: -1} }
+
+// Observation is what Observe has learnt from an answer.
+type Observation struct {
+	// LimitChanged is set if the upstream's rate limit has changed, DrainStarted if the upstream has
+	// begun to drain, and BackoffStarted if it has asked for a backoff while there was none.
+	LimitChanged, DrainStarted, BackoffStarted bool
+	// SpareSlots is set if the upstream has free slots, by its own report or else by the entries'
+	// counts. A refusal by such an upstream is no sign of load.
+	SpareSlots bool
+	// Queued is set if requests wait for a slot, by the upstream's own report.
+	Queued bool
+}
+
+// availability is whether an upstream accepts requests, by its own announcements.
+type availability struct {
+	draining     bool
+	backoffUntil time.Time
+}
+
+// AnnouncementCounts counts announcements of upstreams, and the requests sent in spite of them.
+type AnnouncementCounts struct {
+	// Drains counts the upstreams that have begun to drain, Backoffs the answers that asked for a
+	// backoff.
+	Drains   int64 `json:"drains"`
+	Backoffs int64 `json:"backoffs"`
+	// SentDraining and SentBackingOff count the requests that were sent to a draining upstream and
+	// to one that had asked for a backoff.
+	SentDraining   int64 `json:"sent_draining"`
+	SentBackingOff int64 `json:"sent_backing_off"`
+}
+
+// Observe applies what the answer to a Choice says about its upstream. It is called once the
+// header of the answer has been read, and before Done.
+func (b *Balancer) Observe(now time.Time, c Choice, a Announcement) Observation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := c.state
+	if u.restarted {
+		return Observation{}
+	}
+	var o Observation
+	if a.Load >= 0 {
+		u.otherLoad = float64(max(0, a.Load-u.inFlight))
+		u.reportedAt = now
+	}
+	u.recordSlowdown(now, a.Slowdown)
+	o.LimitChanged = b.observeLimit(now, c, a.Limit)
+	o.DrainStarted = a.Draining && b.recordDrain(u)
+	o.BackoffStarted = a.Backoff > 0 && b.recordBackoff(u, now, a.Backoff)
+	o.Queued = a.Waiting > 0
+	o.SpareSlots = b.spareSlots(u, now, c, a)
+	return o
+}
+
+// recordDrain records that an upstream drains, and reports whether this is new.
+func (b *Balancer) recordDrain(u *upstreamState) bool {
+	if u.announced.draining {
+		return false
+	}
+	u.announced.draining = true
+	b.announcements.Drains++
+	return true
+}
+
+// recordBackoff records that an upstream wants no requests for a time, and reports whether there was
+// no backoff before. An answer never shortens a backoff that another one has asked for.
+func (b *Balancer) recordBackoff(u *upstreamState, now time.Time, backoff time.Duration) bool {
+	b.announcements.Backoffs++
+	first := !u.backingOff(now)
+	if until := now.Add(min(backoff, maxBackoff)); until.After(u.announced.backoffUntil) {
+		u.announced.backoffUntil = until
+	}
+	return first
+}
+
+// backingOff reports whether the upstream has asked this entry to send nothing now.
+func (u *upstreamState) backingOff(now time.Time) bool { return now.Before(u.announced.backoffUntil) }
+
+// countSend counts a request that is sent in spite of an announcement.
+func (b *Balancer) countSend(u *upstreamState, now time.Time) {
+	if u.announced.draining {
+		b.announcements.SentDraining++
+	}
+	if u.backingOff(now) {
+		b.announcements.SentBackingOff++
+	}
+}
+
+// spareSlots reports whether an upstream has free slots, by the answer to a Choice or else by the
+// entries' counts. The result is false for a Choice of Pick.
+func (b *Balancer) spareSlots(u *upstreamState, now time.Time, c Choice, a Announcement) bool {
+	if c.class == "" {
+		return false
+	}
+	if a.Load >= 0 {
+		return a.Waiting <= 0 && a.Load < u.Slots
+	}
+	return b.outstanding(u, now) < idleShare*float64(u.Slots)
+}
+
+// AnnouncementCounts returns the counts of announcements.
+func (b *Balancer) AnnouncementCounts() AnnouncementCounts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.announcements
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -44,8 +44,6 @@
 	shedBackoff = 50 * time.Millisecond
 	// peerReportTTL is the time without a report after which the reports of a peer are dropped.
 	peerReportTTL = time.Second
-	// drainTTL is how long an upstream counts as draining after it announced this in an answer.
-	drainTTL = 5 * time.Minute
 )
 
 // Errors of Pick and PickObject.
@@ -73,7 +71,8 @@
 	// ejections counts the ejections since the last success.
 	ejections    int
 	ejectedUntil time.Time
-	drainUntil   time.Time
+	// announced is what the upstream has announced about whether it accepts requests.
+	announced availability
 	// lastAnswer is the time of the last answer, or the time at which the oldest request in flight
 	// was sent if that is later.
 	lastAnswer time.Time
@@ -178,6 +177,8 @@
 	// retired is set once the entry is about to leave.
 	retired bool
 
+	announcements AnnouncementCounts
+
 	scratch scratch
 }
 
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -26,16 +26,8 @@
 // DoneInfo is what one request has shown about its upstream.
 type DoneInfo struct {
 	Result Result
-	// Load is the number of requests in flight that the upstream reported, or -1 if it reported none.
-	Load int
-	// Waiting is the number of requests waiting for a slot that the upstream reported, or -1 if it
-	// reported none.
-	Waiting int
-	// Slowdown is how many times as long as usual work takes at the upstream now, by its report; 0
-	// if it reported none.
-	Slowdown float64
-	// Draining is set if the upstream announced that it drains.
-	Draining bool
+	// Observation is what Observe returned for the answer.
+	Observation Observation
 	// ServerError is set if the answer is a failure of the upstream itself.
 	ServerError bool
 	// Bytes is the total size of the bodies of the request and the answer, 0 if unknown.
@@ -54,20 +46,13 @@
 		b.inFlight[c.Region]--
 		return r.Result
 	}
-	if r.Load >= 0 {
-		u.otherLoad = float64(max(0, r.Load-u.inFlight))
-		u.reportedAt = now
-	}
-	u.recordSlowdown(now, r.Slowdown)
 	u.inFlight--
 	b.inFlight[c.Region]--
-	if r.Draining {
-		u.drainUntil = now.Add(drainTTL)
-	}
 	if best := b.roundTrip[c.Region]; r.ConnectTime > 0 && (best == 0 || r.ConnectTime < best) {
 		b.roundTrip[c.Region] = r.ConnectTime
 	}
-	if r.Result == Shed && b.shedWithSpareSlots(u, now, c, r) {
+	if r.Result == Shed && r.Observation.SpareSlots {
+		// Skipping the upstream would move its objects to upstreams that are cold for them.
 		r.Result = ShedIdle
 	}
 	if r.Result == OK || r.Result == Unreachable {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -69,20 +69,6 @@
 	}
 }
 
-// shedWithSpareSlots reports whether an upstream that refused a request as if because of load had
-// free slots, by its own report or else by the entries' counts. Such a refusal is no sign of load.
-// Skipping the upstream would move its objects to upstreams that are cold for them, so it is asked
-// again. The result is false for a Choice of Pick.
-func (b *Balancer) shedWithSpareSlots(u *upstreamState, now time.Time, c Choice, r DoneInfo) bool {
-	if c.class == "" {
-		return false
-	}
-	if r.Load >= 0 {
-		return r.Waiting <= 0 && r.Load < u.Slots
-	}
-	return b.outstanding(u, now) < idleShare*float64(u.Slots)
-}
-
 // recordResult updates the failures, latency and ejection of an upstream with the result of a
 // request and its duration.
 func (b *Balancer) recordResult(u *upstreamState, now time.Time, took time.Duration, r Result) {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -60,6 +60,7 @@
 		if u := b.pickPreferred(candidates, now, rnd); u != nil {
 			u.inFlight++
 			u.sent++
+			b.countSend(u, now)
 			b.spendLimit(u, now)
 			b.inFlight[region]++
 			return Choice{Upstream: u.Upstream, SendAt: now, state: u}, nil
@@ -86,7 +87,7 @@
 
 // isDraining reports whether an upstream drains, by its own announcement or by the configuration.
 func (b *Balancer) isDraining(u *upstreamState, now time.Time) bool {
-	return now.Before(u.drainUntil) || b.draining(&u.Upstream, now)
+	return u.announced.draining || b.draining(&u.Upstream, now)
 }
 
 // pickPreferred returns an upstream of this entry's subset that has a free slot, else another one;
--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -73,16 +73,14 @@
 // Balancer is used.
 func (b *Balancer) OnLimitUpdate(notify func()) { b.notify = notify }
 
-// ObserveLimit applies what the answer to a Choice says about its upstream's limit. It reports
+// observeLimit applies what the answer to a Choice says about its upstream's limit. It reports
 // whether the limit has changed.
-func (b *Balancer) ObserveLimit(now time.Time, c Choice, r RateLimit) bool {
+func (b *Balancer) observeLimit(now time.Time, c Choice, r RateLimit) bool {
 	if !r.Known || r.PerSecond == ratelimit.Unlimited && b.limitedCount.Load() == 0 {
 		return false
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	u := c.state
-	if u.restarted || u.removed || !u.limit.Observe(ratelimit.Round(r.PerSecond), c.SendAt, now) {
+	if u.removed || !u.limit.Observe(ratelimit.Round(r.PerSecond), c.SendAt, now) {
 		return false
 	}
 	b.applyLimit(u, now)
--- a/internal/balance/service_time.go
+++ b/internal/balance/service_time.go
@@ -104,7 +104,7 @@
 	}
 	t.meanBytes += sizeWeight * (float64(r.Bytes) - t.meanBytes)
 	took := now.Sub(c.SendAt) - b.roundTrip[c.Region]
-	if !c.immediate || r.Waiting > 0 || b.cold(u, now) || took <= 0 {
+	if !c.immediate || r.Observation.Queued || b.cold(u, now) || took <= 0 {
 		return
 	}
 	mean := &t.unknown[min(c.Rank, len(t.unknown)-1)]
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -92,7 +92,7 @@
 	case <-timer.C:
 		return choice, nil
 	case <-ctx.Done():
-		p.release(state, choice, balance.DoneInfo{Result: balance.Abandoned, Load: -1, Waiting: -1})
+		p.release(state, choice, balance.DoneInfo{Result: balance.Abandoned})
 		return balance.Choice{}, verdict.New(verdict.NotRun, reasonCallerGone, ctx.Err())
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,6 +39,8 @@
 type upstreamResponse struct {
 	resp *http.Response
 	info ResponseInfo
+	// observed is what the balancer has learnt from info.
+	observed balance.Observation
 	// connectTime is the time it took to open the connection; 0 for a reused connection.
 	connectTime time.Duration
 	// body is the complete body if buffered is set.
@@ -81,12 +83,12 @@
 		return nil, verr
 	}
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
-	p.recordUpstreamLimit(cl, to, info.UpstreamLimit)
+	observed := p.observe(cl, to, info.Announcement)
 	if info.NotRunReason != "" {
 		e := verdict.New(verdict.NotRun, info.NotRunReason, fmt.Errorf("upstream answered %s", resp.Status))
-		e.RetryAfter = parseRetryAfter(resp)
+		e.RetryAfter = info.Backoff
 		discard(resp)
-		return &upstreamResponse{info: info}, e
+		return &upstreamResponse{info: info, observed: observed}, e
 	}
 	if info.InvalidReason != "" {
 		discard(resp)
@@ -94,7 +96,7 @@
 	}
 	res, verr := p.readResponse(ctx, resp)
 	if verr == nil {
-		res.info, res.connectTime = info, writes.connectTime()
+		res.info, res.observed, res.connectTime = info, observed, writes.connectTime()
 	}
 	return res, verr
 }
@@ -205,14 +207,6 @@
 	resp.Body.Close()
 }
 
-func parseRetryAfter(resp *http.Response) time.Duration {
-	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || s < 0 {
-		return 0
-	}
-	return time.Duration(s) * time.Second
-}
-
 // writeTo sends the response to the caller and returns the number of body bytes sent. If the
 // upstream responded before the request body was read to its end, the caller's connection is closed
 // after the response; otherwise net/http would read the rest of the body first.
--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/header"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/tree"
@@ -107,7 +108,7 @@
 // ParseResponse implements Protocol. A response that is delimited by the end of its connection
 // is invalid, because it cannot be distinguished from a truncated one.
 func (Native) ParseResponse(resp *http.Response, info *RequestInfo, svc *model.Service) ResponseInfo {
-	out := ResponseInfo{Load: -1, Waiting: -1}
+	out := ResponseInfo{Announcement: balance.NoAnnouncement()}
 	if load, err := strconv.Atoi(resp.Header.Get(header.Load)); err == nil {
 		out.Load = load
 	}
@@ -116,13 +117,17 @@
 	switch {
 	case slices.Contains(svc.NotRunStatuses, resp.StatusCode):
 		out.NotRunReason = ReasonShed
-		out.UpstreamLimit, _, _ = ParseRate(resp, header.RateLimit)
+		out.Limit, _, _ = ParseRate(resp, header.RateLimit)
 	case echo != "" && echo != info.ID:
 		out.InvalidReason = ReasonMismatch
+		out.Announcement = balance.NoAnnouncement()
 	case closeDelimited(resp):
 		out.InvalidReason = reasonUnframed
 	default:
-		out.UpstreamLimit, _, _ = ParseRate(resp, header.RateLimit)
+		out.Limit, _, _ = ParseRate(resp, header.RateLimit)
+	}
+	if out.InvalidReason == "" && MayAskForBackoff(resp, out.Limit) {
+		out.Backoff, _, _ = ParseBackoff(resp)
 	}
 	return out
 }
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -74,16 +74,9 @@
 	NotRunReason string
 	// InvalidReason is the reason why the response must not be passed on; empty if it is valid.
 	InvalidReason string
-	// Load is the number of requests at the upstream, and Waiting the number of those that wait
-	// there; -1 if the response does not state them.
-	Load, Waiting int
-	// Slowdown is how many times as long as usual work takes at the upstream now; 0 if the response
-	// does not state it.
-	Slowdown float64
-	// UpstreamLimit is the limit that the response states for its upstream, or that it states none.
-	UpstreamLimit balance.RateLimit
-	// Draining is set if the upstream wants no new requests.
-	Draining bool
+	// Announcement is what the response says about its upstream. It is balance.NoAnnouncement for a
+	// response of another upstream or to another request.
+	balance.Announcement
 }
 
 // Values of RequestError.Reason for a missing or unknown key.
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -138,8 +138,8 @@
 	// urgentLimitUpdates receives a value when limit updates should be sent to other
 	// entries without delay.
 	urgentLimitUpdates chan struct{}
-	// upstreamLimitLog bounds the log lines about changed upstream limits.
-	upstreamLimitLog *logs.Limiter
+	// announcementLog bounds the log lines about announcements of upstreams.
+	announcementLog *logs.Limiter
 }
 
 // serviceState is the state of one service.
@@ -183,7 +183,7 @@
 		peers:              newPeerPicker(),
 		abandonable:        newAbandonableSet(),
 		urgentLimitUpdates: make(chan struct{}, 1),
-		upstreamLimitLog:   logs.NewLimiter(upstreamLimitLogsPerSecond, upstreamLimitLogBurst),
+		announcementLog:    logs.NewLimiter(announcementLogsPerSecond, announcementLogBurst),
 	}
 	if opt.TLS != nil {
 		p.scheme = "https"
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -130,9 +130,9 @@
 // reportFor returns the balancer's report about a failed attempt. res is the response of the
 // attempt, or nil.
 func reportFor(res *upstreamResponse, err *verdict.Error) balance.DoneInfo {
-	r := balance.DoneInfo{Result: balance.Failed, Load: -1, Waiting: -1}
+	r := balance.DoneInfo{Result: balance.Failed}
 	if res != nil {
-		r.Load, r.Waiting = res.info.Load, res.info.Waiting
+		r.Observation = res.observed
 	}
 	switch err.Reason {
 	case ReasonShed:
@@ -159,7 +159,7 @@
 // whole body.
 func (p *Proxy) deliver(w http.ResponseWriter, state *serviceState, cl *call, choice balance.Choice, res *upstreamResponse, out *Outcome) {
 	defer res.release()
-	report := balance.DoneInfo{Result: balance.OK, Load: res.info.Load, Waiting: res.info.Waiting, Slowdown: res.info.Slowdown, Draining: res.info.Draining, ConnectTime: res.connectTime}
+	report := balance.DoneInfo{Result: balance.OK, Observation: res.observed, ConnectTime: res.connectTime}
 	report.ServerError = res.resp.StatusCode >= http.StatusInternalServerError
 	report.Bytes = max(0, cl.body.length) + max(int64(len(res.body)), res.resp.ContentLength)
 	if res.buffered {
--- a/internal/forward/upstreamlimit.go
+++ b/internal/forward/upstreamlimit.go
@@ -1,32 +1,6 @@
 package forward
 
-import (
-	"k8s.io/klog/v2"
-
-	"github.com/loomkeel/loomkeel/internal/balance"
-	"github.com/loomkeel/loomkeel/internal/ratelimit"
-)
-
-// upstreamLimitLogsPerSecond and upstreamLimitLogBurst bound the log lines about upstream limits.
-const (
-	upstreamLimitLogsPerSecond = 5
-	upstreamLimitLogBurst      = 40
-)
-
-// recordUpstreamLimit records what a response says about its upstream's limit.
-func (p *Proxy) recordUpstreamLimit(cl *call, from balance.Choice, r balance.RateLimit) {
-	now := p.now()
-	if !p.serviceState(cl.service.Name).balancer.ObserveLimit(now, from, r) {
-		return
-	}
-	kind := "upstream set a rate limit"
-	if r.PerSecond == ratelimit.Unlimited {
-		kind = "upstream removed its rate limit"
-	}
-	if left, ok := p.upstreamLimitLog.Allow(now, kind); ok {
-		klog.InfoS(kind, "service", cl.service.Name, "upstream", from.ID, "per_s", r.PerSecond, "request", cl.ID, "left_out", left)
-	}
-}
+import "github.com/loomkeel/loomkeel/internal/balance"
 
 // notifyLimitUpdates signals that limit updates should be sent to other entries without delay.
 func (p *Proxy) notifyLimitUpdates() {
--- a/internal/sim/loomkeel.go
+++ b/internal/sim/loomkeel.go
@@ -145,7 +145,7 @@
 
 // Done implements Policy.
 func (l *loomkeel) Done(now time.Time, entry int, r *Request, result AttemptResult) {
-	info := balance.DoneInfo{Result: balance.OK, Load: result.Load, Waiting: result.Queued, ConnectTime: result.RoundTrip}
+	info := balance.DoneInfo{Result: balance.OK, ConnectTime: result.RoundTrip}
 	switch {
 	case result.TimedOut:
 		info.Result = balance.Failed
@@ -154,7 +154,8 @@
 	}
 	b := l.balancers[entry][l.sim.scenario.Classes[r.Class].Service]
 	if !result.TimedOut {
-		b.ObserveLimit(now, result.Token.(balance.Choice), balance.RateLimit{Known: true, PerSecond: result.RateLimit})
+		limit := balance.RateLimit{Known: true, PerSecond: result.RateLimit}
+		info.Observation = b.Observe(now, result.Token.(balance.Choice), balance.Announcement{Load: result.Load, Waiting: result.Queued, Limit: limit})
 	}
 	b.Done(now, result.Token.(balance.Choice), info)
 }
