balance, platform: an upstream that announces its departure in an answer gets no requests

A drain holds for the incarnation, also while its entry is gone, or five minutes where an ID may name a later one; the region's share falls with it. For one second a draining upstream may serve requests that no other upstream can take.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -60,6 +60,9 @@
 func (b *Balancer) PickObject(now time.Time, req ObjectRequest) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.weightsStale {
+		b.updateWeights(now)
+	}
 	ranked := b.replicasFor(now, req)
 	if len(ranked) == 0 {
 		return Choice{}, ErrNoUpstream
--- a/internal/balance/announcement.go
+++ b/internal/balance/announcement.go
@@ -1,9 +1,23 @@
 package balance
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
-// maxBackoff bounds the time for which an upstream can ask an entry to send nothing.
-const maxBackoff = time.Hour
+const (
+	// maxBackoff bounds the time for which an upstream can ask an entry to send nothing.
+	maxBackoff = time.Hour
+	// drainGrace is how long a draining upstream may still get the requests that no other upstream
+	// can take.
+	drainGrace = time.Second
+	// sharedIDDrainTTL is how long an announced drain holds for an upstream whose ID may name a later
+	// incarnation too.
+	sharedIDDrainTTL = 5 * time.Minute
+	// retention is how long the announcements of an upstream that has left the service are kept, in
+	// case its entry comes back.
+	retention = 10 * time.Minute
+)
 
 // Announcement is what one answer says about its upstream, regardless of the request that it
 // answers.
@@ -38,10 +52,17 @@
 	Queued bool
 }
 
-// availability is whether an upstream accepts requests, by its own announcements.
+// availability is whether an incarnation of an upstream accepts requests, by its own announcements.
 type availability struct {
-	draining     bool
-	backoffUntil time.Time
+	// drainingSince is when this entry first learnt that the upstream drains; zero if it does not.
+	drainingSince time.Time
+	backoffUntil  time.Time
+}
+
+// retainedAvailability is that of an upstream that has left the service.
+type retainedAvailability struct {
+	availability
+	removedAt time.Time
 }
 
 // AnnouncementCounts counts announcements of upstreams, and the requests sent in spite of them.
@@ -72,7 +93,7 @@
 	}
 	u.recordSlowdown(now, a.Slowdown)
 	o.LimitChanged = b.observeLimit(now, c, a.Limit)
-	o.DrainStarted = a.Draining && b.recordDrain(u)
+	o.DrainStarted = a.Draining && b.recordDrain(u, now)
 	o.BackoffStarted = a.Backoff > 0 && b.recordBackoff(u, now, a.Backoff)
 	o.Queued = a.Waiting > 0
 	o.SpareSlots = b.spareSlots(u, now, c, a)
@@ -80,15 +101,51 @@
 }
 
 // recordDrain records that an upstream drains, and reports whether this is new.
-func (b *Balancer) recordDrain(u *upstreamState) bool {
-	if u.announced.draining {
+func (b *Balancer) recordDrain(u *upstreamState, now time.Time) bool {
+	if b.announcedDrain(u, now) {
 		return false
 	}
-	u.announced.draining = true
+	u.announced.drainingSince = now
+	b.weightsStale = true
 	b.announcements.Drains++
 	return true
 }
 
+// announcedDrain reports whether an upstream drains by its own announcement. That holds for the rest
+// of its incarnation.
+func (b *Balancer) announcedDrain(u *upstreamState, now time.Time) bool {
+	since := u.announced.drainingSince
+	return !since.IsZero() && (b.identifiesIncarnation(u) || now.Sub(since) < sharedIDDrainTTL)
+}
+
+// identifiesIncarnation reports whether the ID and start time of an upstream never name a later
+// incarnation. In services with routes every start has an ID of its own.
+func (b *Balancer) identifiesIncarnation(u *upstreamState) bool { return b.routed || u.StartedAt != 0 }
+
+// inDrainGrace reports whether a draining upstream may get requests that no other one can take.
+func (b *Balancer) inDrainGrace(u *upstreamState, now time.Time) bool {
+	return b.announcedDrain(u, now) && now.Sub(u.announced.drainingSince) < drainGrace && !b.draining(&u.Upstream, now)
+}
+
+// retain keeps the announcements of an upstream that leaves the service.
+func (b *Balancer) retain(u *upstreamState, now time.Time) {
+	if !u.announced.drainingSince.IsZero() || u.backingOff(now) {
+		b.retained[u.incarnationKey] = retainedAvailability{u.announced, now}
+	}
+}
+
+// restore returns the announcements of an incarnation that had left the service.
+func (b *Balancer) restore(incarnationKey uint32) availability {
+	a := b.retained[incarnationKey].availability
+	delete(b.retained, incarnationKey)
+	return a
+}
+
+// expireRetained drops the announcements of upstreams that have left long ago.
+func (b *Balancer) expireRetained(now time.Time) {
+	maps.DeleteFunc(b.retained, func(_ uint32, r retainedAvailability) bool { return now.Sub(r.removedAt) >= retention })
+}
+
 // recordBackoff records that an upstream wants no requests for a time, and reports whether there was
 // no backoff before. An answer never shortens a backoff that another one has asked for.
 func (b *Balancer) recordBackoff(u *upstreamState, now time.Time, backoff time.Duration) bool {
@@ -105,7 +162,7 @@
 
 // countSend counts a request that is sent in spite of an announcement.
 func (b *Balancer) countSend(u *upstreamState, now time.Time) {
-	if u.announced.draining {
+	if b.announcedDrain(u, now) {
 		b.announcements.SentDraining++
 	}
 	if u.backingOff(now) {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -177,6 +177,12 @@
 	// retired is set once the entry is about to leave.
 	retired bool
 
+	// routed is set if requests select the service by a route. weightsStale is set if the weights of
+	// the upstreams are to be computed again.
+	routed       bool
+	weightsStale bool
+	// retained holds the announcements of upstreams that have left the service, by incarnation.
+	retained      map[uint32]retainedAvailability
 	announcements AnnouncementCounts
 
 	scratch scratch
@@ -191,6 +197,7 @@
 		classes:        make(map[string]*classStats),
 		roundTrip:      make(map[string]time.Duration),
 		lastPeerReport: make(map[string]time.Time),
+		retained:       make(map[uint32]retainedAvailability),
 	}
 }
 
@@ -221,6 +228,7 @@
 	defer b.mu.Unlock()
 	first := len(b.byID) == 0
 	b.warmup, b.coldRate, b.draining = svc.Warmup, svc.ColdRate, in.Draining
+	b.routed = svc.Routed
 	b.self, b.region, b.domain, b.entries = in.Self, in.Region, in.Domain, in.Entries
 	b.upstreams = make([]*upstreamState, 0, len(svc.Upstreams))
 	b.byRegion = emptyLists(b.byRegion)
@@ -236,6 +244,7 @@
 		}
 		if u == nil {
 			u = &upstreamState{idHash: xxhash.Sum64String(up.ID), incarnationKey: IncarnationKey(up)}
+			u.announced = b.restore(u.incarnationKey)
 			if !first {
 				u.coldSince = in.joinedSince(now)
 			}
@@ -251,11 +260,12 @@
 		if u.updatedIn != b.updates {
 			u.removed = true
 			b.dropLimit(u)
-			b.removeIfIdle(id, u)
+			b.removeIfIdle(id, u, now)
 		}
 	}
+	b.expireRetained(now)
 	b.updateLimitSenders(now)
-	b.updateWeights(now, in.Region, demandByRegion(in.Entries))
+	b.updateWeights(now)
 	return restarted
 }
 
@@ -278,8 +288,9 @@
 }
 
 // removeIfIdle deletes an upstream that has left the service once its last request has ended.
-func (b *Balancer) removeIfIdle(id string, u *upstreamState) {
+func (b *Balancer) removeIfIdle(id string, u *upstreamState, now time.Time) {
 	if u.removed && u.inFlight == 0 {
+		b.retain(u, now)
 		delete(b.byID, id)
 	}
 }
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -61,6 +61,6 @@
 	b.recordServiceTime(u, now, c, r)
 	b.recordResult(u, now, now.Sub(c.SendAt), r.Result)
 	b.updateMeanLoad(now)
-	b.removeIfIdle(c.ID, u)
+	b.removeIfIdle(c.ID, u, now)
 	return r.Result
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -50,9 +50,24 @@
 func (b *Balancer) Pick(now time.Time, rnd *rand.Rand, req Request) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	usable := false
+	choice, usable := b.pickInRegions(now, rnd, req, b.isDraining)
+	if !usable {
+		choice, usable = b.pickInRegions(now, rnd, req, b.drainedForGood)
+	}
+	switch {
+	case choice.state != nil:
+		return choice, nil
+	case usable:
+		return Choice{}, ErrNoSlot
+	}
+	return Choice{}, ErrNoUpstream
+}
+
+// pickInRegions picks among the upstreams that excluded does not report. usable is false if there is
+// none, and the Choice is empty if none has a free slot.
+func (b *Balancer) pickInRegions(now time.Time, rnd *rand.Rand, req Request, excluded func(*upstreamState, time.Time) bool) (choice Choice, usable bool) {
 	for _, region := range b.orderRegions(req.Regions, now) {
-		candidates := b.availableInRegion(region, req.Tried, now)
+		candidates := b.availableInRegion(region, req.Tried, now, excluded)
 		usable = usable || len(candidates) > 0
 		if len(candidates) == 0 || req.Allowed != nil && !req.Allowed(region, b.inFlight[region]) {
 			continue
@@ -63,22 +78,19 @@
 			b.countSend(u, now)
 			b.spendLimit(u, now)
 			b.inFlight[region]++
-			return Choice{Upstream: u.Upstream, SendAt: now, state: u}, nil
+			return Choice{Upstream: u.Upstream, SendAt: now, state: u}, true
 		}
 	}
-	if usable {
-		return Choice{}, ErrNoSlot
-	}
-	return Choice{}, ErrNoUpstream
+	return Choice{}, usable
 }
 
 // availableInRegion returns the upstreams of a region that may get new requests, without those that
-// were tried.
-func (b *Balancer) availableInRegion(region string, tried []string, now time.Time) []*upstreamState {
+// were tried or are excluded.
+func (b *Balancer) availableInRegion(region string, tried []string, now time.Time, excluded func(*upstreamState, time.Time) bool) []*upstreamState {
 	all := b.byRegion[region]
 	out := make([]*upstreamState, 0, len(all))
 	for _, u := range all {
-		if !u.ejected(now) && !slices.Contains(tried, u.ID) && !b.isDraining(u, now) {
+		if !u.ejected(now) && !slices.Contains(tried, u.ID) && !excluded(u, now) {
 			out = append(out, u)
 		}
 	}
@@ -87,7 +99,13 @@
 
 // isDraining reports whether an upstream drains, by its own announcement or by the configuration.
 func (b *Balancer) isDraining(u *upstreamState, now time.Time) bool {
-	return u.announced.draining || b.draining(&u.Upstream, now)
+	return b.announcedDrain(u, now) || b.draining(&u.Upstream, now)
+}
+
+// drainedForGood reports whether a draining upstream may not even get the requests that no other one
+// can take.
+func (b *Balancer) drainedForGood(u *upstreamState, now time.Time) bool {
+	return b.isDraining(u, now) && !b.inDrainGrace(u, now)
 }
 
 // pickPreferred returns an upstream of this entry's subset that has a free slot, else another one;
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -60,9 +60,17 @@
 // outliers are left out, unless they are the majority: then this entry is more likely the one that
 // is cut off. The result is valid until the next call.
 func (b *Balancer) usableCandidates(now time.Time, req ObjectRequest) []candidate {
+	if cs := b.candidatesWithout(b.isDraining, now, req); len(cs) > 0 {
+		return cs
+	}
+	return b.candidatesWithout(b.drainedForGood, now, req)
+}
+
+// candidatesWithout returns the usable upstreams that excluded does not report.
+func (b *Balancer) candidatesWithout(excluded func(*upstreamState, time.Time) bool, now time.Time, req ObjectRequest) []candidate {
 	all, responsive := b.scratch.all[:0], b.scratch.responsive[:0]
 	for _, u := range b.upstreams {
-		if !b.usable(u, now, req) {
+		if excluded(u, now) || !b.usable(u, now, req) {
 			continue
 		}
 		c := candidate{state: u, score: score(req.Object, u)}
@@ -78,9 +86,9 @@
 	return all
 }
 
-// usable reports whether an upstream may serve the request at all, regardless of its load.
+// usable reports whether an upstream may serve the request at all, regardless of its load and drain.
 func (b *Balancer) usable(u *upstreamState, now time.Time, req ObjectRequest) bool {
-	if u.ejected(now) || b.isDraining(u, now) || slices.Contains(req.Tried, u.ID) {
+	if u.ejected(now) || slices.Contains(req.Tried, u.ID) {
 		return false
 	}
 	if req.Upstreams != nil && !req.Upstreams(&u.Upstream) {
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -47,11 +47,12 @@
 	return out
 }
 
-// updateWeights sets the weights of the upstreams for requests from ownRegion: by the shares of the
-// regions, and within a region by slots.
-func (b *Balancer) updateWeights(now time.Time, ownRegion string, demand map[string]float64) {
+// updateWeights sets the weights of the upstreams for requests from this entry's region: by the shares
+// of the regions, and within a region by slots.
+func (b *Balancer) updateWeights(now time.Time) {
+	b.weightsStale = false
 	capacity := b.capacityByRegion(now)
-	share := spreadDemand(ownRegion, capacity, demand)
+	share := spreadDemand(b.region, capacity, demandByRegion(b.entries))
 	for _, u := range b.upstreams {
 		weight := math.Max(minRegionWeight, share[u.Region])
 		u.weight = weight * float64(max(u.Slots, 1)) / math.Max(1, capacity[u.Region])
--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -40,12 +40,12 @@
 }
 
 // SelfDraining returns the IDs of the upstreams that have announced that they drain.
-func (b *Balancer) SelfDraining() []string {
+func (b *Balancer) SelfDraining(now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var ids []string
 	for _, u := range b.upstreams {
-		if u.announced.draining {
+		if b.announcedDrain(u, now) {
 			ids = append(ids, u.ID)
 		}
 	}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -111,11 +111,12 @@
 
 // DrainingUpstreams returns the IDs of the upstreams that reported that they are draining.
 func (p *Proxy) DrainingUpstreams() []string {
+	now := p.now()
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var ids []string
 	for _, state := range p.services {
-		ids = append(ids, state.balancer.SelfDraining()...)
+		ids = append(ids, state.balancer.SelfDraining(now)...)
 	}
 	return ids
 }
