balance, forward, inflight: upstreams that ask for a backoff by Retry-After get none of an entry's requests until its end

Cause: Retry-After of a 503 went into the caller's reply alone. The upstream counted as full for 50 ms, and as it reported free slots it was even asked again by the same request (BUDGET); callers were refused with its Retry-After beside upstreams with free slots. Change: Observe records the backoff until its latest end, prolonged by a part of it that differs between entries. No way to pick uses such an upstream, and a request whose upstream asks for a backoff, or drains for good, while the request waits for a connection or for its caller's body is not written but placed anew. After the end one request at a time shows whether the upstream serves, and none that could not be retried. Entries report how many of them back off from an upstream and which upstreams drain; an upstream from which more entries back off than have requests there comes last at the others. While upstreams turn requests away, a request that its object's replicas cannot take goes to any upstream with a free slot. If all back off, the caller is refused at once, with the shortest time left and a random part of it.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -24,8 +24,7 @@
 	// failure domains. Below it, another warm replica costs more than the traffic that it keeps
 	// within a domain.
 	largeBytes = 3000
-	// maxUnreadySkipped is how many upstreams that are cold, or whose limit leaves no room, are
-	// skipped at the front of an object's order. With half of a region cold, eight in a row
+	// maxUnreadySkipped is how many unready upstreams are skipped at the front of an object's order. With half of a region cold, eight in a row
 	// occur for one object in 256.
 	maxUnreadySkipped = 8
 	// hugeBytes is the mean size from which each object of a class has a replica in every
@@ -49,6 +48,9 @@
 	// Upstreams reports whether an upstream may get the request; nil allows all. It is called with
 	// the Balancer locked.
 	Upstreams func(u *model.Upstream) bool
+	// NoTrial is set if the request must not be used to find out whether an upstream accepts requests
+	// after a backoff, because no retry could follow.
+	NoTrial bool
 	// NoAffinity is set if the request concerns no particular object, so that any upstream will do.
 	NoAffinity bool
 }
@@ -56,7 +58,7 @@
 // PickObject chooses the replica of an object with the least expected latency and takes one of its
 // slots. All entries of a region compute the same order of upstreams for an object, so that
 // requests for it reach the same few upstreams. The error is ErrNoUpstream, ErrNoSlot, or one that
-// wraps ErrNoSlot (LateError, LimitError).
+// wraps ErrNoSlot (LateError, LimitError, BackoffError).
 func (b *Balancer) PickObject(now time.Time, req ObjectRequest) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,9 +67,12 @@
 	}
 	ranked := b.replicasFor(now, req)
 	if len(ranked) == 0 {
-		return Choice{}, ErrNoUpstream
+		return Choice{}, b.noUpstreamError(now, func(u *upstreamState) bool { return b.usable(u, now, req) })
 	}
 	best, rank, wait := b.fastest(now, req, ranked)
+	if best == nil && now.Before(b.turningAwayUntil) {
+		best, rank = b.fastestWithSpareSlots(now, req)
+	}
 	if best == nil {
 		return Choice{}, b.noSlotError(now, req, ranked)
 	}
@@ -91,7 +96,7 @@
 }
 
 // replicasFor returns the candidates for an object, at most as many as replicas: in the object's
-// order, but upstreams that are cold, or whose limit leaves no room, last. A request without
+// order, but those that are unready last. A request without
 // affinity gets all usable upstreams.
 func (b *Balancer) replicasFor(now time.Time, req ObjectRequest) []candidate {
 	t := b.classStats(req.Class)
@@ -99,29 +104,33 @@
 	case req.NoAffinity:
 		return b.byScore(now, req)
 	case t.huge():
-		return b.withLocalDomain(b.readyFirst(now, b.byScore(now, req)))
+		return b.withLocalDomain(b.readyFirst(now, req, b.byScore(now, req)))
 	case t.large():
-		return perDomain(b.readyFirst(now, b.byScore(now, req)))
+		return perDomain(b.readyFirst(now, req, b.byScore(now, req)))
 	}
-	ranked := b.readyFirst(now, b.topByScore(now, req, replicas+maxUnreadySkipped))
+	ranked := b.readyFirst(now, req, b.topByScore(now, req, replicas+maxUnreadySkipped))
 	return ranked[:min(replicas, len(ranked))]
 }
 
-// readyFirst moves upstreams that are cold, or whose limit leaves no room, behind the others.
+// readyFirst moves unready upstreams behind the others; see isUnready.
 // An upstream that has just joined has no object cached and is slow, while the next upstreams in
 // the order still have the objects that it would take over. If joining upstreams came first,
 // requests would be refused while most slots are free, because most entries may not send to cold
 // upstreams.
-func (b *Balancer) readyFirst(now time.Time, cs []candidate) []candidate {
+func (b *Balancer) readyFirst(now time.Time, req ObjectRequest, cs []candidate) []candidate {
 	for i := range cs {
-		cs[i].unready = b.isUnready(cs[i], now)
+		cs[i].unready = b.isUnready(cs[i], now, req)
 	}
 	slices.SortStableFunc(cs, func(x, y candidate) int { return compareBool(x.unready, y.unready) })
 	return cs
 }
 
-// isUnready reports whether a candidate is cold or its limit leaves no room now.
-func (b *Balancer) isUnready(c candidate, now time.Time) bool {
+// isUnready reports whether a candidate is cold, turns requests away, awaits its recovery or has no room
+// in its limit now.
+func (b *Balancer) isUnready(c candidate, now time.Time, req ObjectRequest) bool {
+	if c.state.announced.recovering && (req.NoTrial || c.state.awaitsRecovery() || b.turnsAway(c.state, now)) {
+		return true
+	}
 	return b.cold(c.state, now) || c.limitWait(now) > 0
 }
 
@@ -204,6 +213,15 @@
 	return b.firstWithinLimit(now, req, ranked)
 }
 
+// fastestWithSpareSlots returns the upstream with the least expected latency among all with a free slot,
+// and its rank; nil if there is none. It is used while some upstreams turn requests away, whose objects
+// would otherwise be refused beside upstreams with free slots.
+func (b *Balancer) fastestWithSpareSlots(now time.Time, req ObjectRequest) (*upstreamState, int) {
+	return b.leastExpected(now, req, b.byScore(now, req), func(_ int, u *upstreamState) bool {
+		return !u.announced.recovering && b.hasSpareSlots(u, now, 1)
+	})
+}
+
 // hasSpareSlots reports whether an upstream uses at most a share of its slots after one more
 // request.
 func (b *Balancer) hasSpareSlots(u *upstreamState, now time.Time, share float64) bool {
--- a/internal/balance/announcement.go
+++ b/internal/balance/announcement.go
@@ -1,8 +1,12 @@
 package balance
 
 import (
+	"errors"
+	"fmt"
 	"maps"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -14,6 +18,10 @@
 	// sharedIDDrainTTL is how long an announced drain holds for an upstream whose ID may name a later
 	// incarnation too.
 	sharedIDDrainTTL = 5 * time.Minute
+	// maxBackoffSpread is the largest part by which this entry prolongs a backoff, so that entries do
+	// not return at one moment, and backoffSpreadShare its share of the backoff.
+	maxBackoffSpread   = 500 * time.Millisecond
+	backoffSpreadShare = 0.25
 	// retention is how long the announcements of an upstream that has left the service are kept, in
 	// case its entry comes back.
 	retention = 10 * time.Minute
@@ -56,7 +64,10 @@
 type availability struct {
 	// drainingSince is when this entry first learnt that the upstream drains; zero if it does not.
 	drainingSince time.Time
-	backoffUntil  time.Time
+	// backoffUntil is when this entry may send requests again. recovering is set from the beginning of
+	// a backoff until the upstream has served a request sent after its end.
+	backoffUntil time.Time
+	recovering   bool
 }
 
 // retainedAvailability is that of an upstream that has left the service.
@@ -151,15 +162,172 @@
 func (b *Balancer) recordBackoff(u *upstreamState, now time.Time, backoff time.Duration) bool {
 	b.announcements.Backoffs++
 	first := !u.backingOff(now)
-	if until := now.Add(min(backoff, maxBackoff)); until.After(u.announced.backoffUntil) {
+	backoff = min(backoff, maxBackoff)
+	if until := now.Add(backoff + b.backoffSpread(u, backoff)); until.After(u.announced.backoffUntil) {
 		u.announced.backoffUntil = until
 	}
+	b.recordTurnsAway(u, u.announced.backoffUntil)
 	return first
 }
 
+// recordTurnsAway records that an upstream turns requests away until a time.
+func (b *Balancer) recordTurnsAway(u *upstreamState, until time.Time) {
+	u.announced.recovering = true
+	if until.After(b.turningAwayUntil) {
+		b.turningAwayUntil = until
+	}
+}
+
+// backoffSpread returns by how much this entry prolongs a backoff of an upstream.
+func (b *Balancer) backoffSpread(u *upstreamState, backoff time.Duration) time.Duration {
+	const mantissa = 53
+	uniform := float64(mix(u.idHash^xxhash.Sum64String(b.self))>>(64-mantissa)) / (1 << mantissa)
+	return time.Duration(uniform * min(backoffSpreadShare*float64(backoff), float64(maxBackoffSpread)))
+}
+
 // backingOff reports whether the upstream has asked this entry to send nothing now.
 func (u *upstreamState) backingOff(now time.Time) bool { return now.Before(u.announced.backoffUntil) }
 
+// awaitsRecovery reports whether a request in flight is to show first whether the upstream accepts
+// requests after a backoff.
+func (u *upstreamState) awaitsRecovery() bool { return u.announced.recovering && u.inFlight > 0 }
+
+// recordServed ends the recovery from a backoff if the upstream has served a request sent after it.
+func (u *upstreamState) recordServed(sentAt time.Time) {
+	if !sentAt.Before(u.announced.backoffUntil) {
+		u.announced.recovering = false
+	}
+}
+
+// filteredBackoffs returns the number of the selected entries that back off from the upstream.
+func (u *upstreamState) filteredBackoffs(filter EntryFilter, now time.Time) int {
+	n := 0
+	if filter.Own && u.backingOff(now) {
+		n = 1
+	}
+	if filter.Peers == nil {
+		return n
+	}
+	for peer, backoffs := range u.peerBackoffs {
+		if filter.Peers(peer) {
+			n += backoffs
+		}
+	}
+	return n
+}
+
+// setPeerBackoffs sets the number of entries that back off from the upstream by a peer's report.
+func (u *upstreamState) setPeerBackoffs(peer string, n int) {
+	if n == u.peerBackoffs[peer] {
+		return
+	}
+	if u.peerBackoffs == nil {
+		u.peerBackoffs = make(map[string]int)
+	}
+	u.peerBackoffTotal += n - u.peerBackoffs[peer]
+	if n == 0 {
+		delete(u.peerBackoffs, peer)
+		return
+	}
+	u.peerBackoffs[peer] = n
+}
+
+// sharesDrain reports whether other entries are to be told that an upstream drains: they are not if
+// its own entry says so.
+func (b *Balancer) sharesDrain(u *upstreamState, now time.Time) bool {
+	return b.announcedDrain(u, now) && b.identifiesIncarnation(u) && !u.Leaving
+}
+
+// applyPeerAnnouncements applies what a peer reports about the announcements of an upstream.
+func (b *Balancer) applyPeerAnnouncements(u *upstreamState, now time.Time, peer string, l Load) {
+	if l.Draining && b.identifiesIncarnation(u) {
+		b.recordDrain(u, now)
+	}
+	u.setPeerBackoffs(peer, l.BackingOff)
+	if b.turnsAway(u, now) {
+		b.recordTurnsAway(u, now.Add(peerReportTTL))
+	}
+}
+
+// turnsAway reports whether an upstream turns most requests of all entries away: more of them back off
+// than have requests in flight there. Upstreams that turn away single requests do not count.
+func (b *Balancer) turnsAway(u *upstreamState, now time.Time) bool {
+	const fewest = 2
+	n := u.peerBackoffTotal
+	if u.backingOff(now) {
+		n++
+	}
+	return n >= fewest && float64(n) > b.outstanding(u, now)
+}
+
+// Accepts reports whether a request may still be sent to the upstream of a Choice, by what the upstream
+// and the configuration have said since.
+func (b *Balancer) Accepts(now time.Time, c Choice) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !c.state.backingOff(now) && !b.drainedForGood(c.state, now)
+}
+
+// BackingOff reports whether the upstream with an ID has asked this entry to send nothing now.
+func (b *Balancer) BackingOff(now time.Time, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.byID[id]
+	return u != nil && u.backingOff(now)
+}
+
+// BackoffError reports that every upstream that could take the request has asked this entry to send
+// nothing.
+type BackoffError struct {
+	// Upstream is the ID of the upstream whose backoff ends first, in RetryAfter.
+	Upstream   string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *BackoffError) Error() string {
+	return fmt.Sprintf("balance: all upstreams back off, the next in %v: %s", e.RetryAfter.Round(time.Millisecond), e.Upstream)
+}
+
+// Unwrap returns ErrNoSlot; a BackoffError is a special case of it.
+func (e *BackoffError) Unwrap() error { return ErrNoSlot }
+
+// noUpstreamError returns the error for a request that no upstream may get: a BackoffError if some
+// of those that usable accepts back off, else ErrNoUpstream.
+func (b *Balancer) noUpstreamError(now time.Time, usable func(*upstreamState) bool) error {
+	var first *upstreamState
+	for _, u := range b.upstreams {
+		if !u.backingOff(now) || b.isDraining(u, now) || !usable(u) {
+			continue
+		}
+		if first == nil || u.announced.backoffUntil.Before(first.announced.backoffUntil) {
+			first = u
+		}
+	}
+	if first == nil {
+		return ErrNoUpstream
+	}
+	return &BackoffError{Upstream: first.ID, RetryAfter: first.announced.backoffUntil.Sub(now)}
+}
+
+// UntilAccepted returns the time until the first upstream in the given regions accepts requests; 0 if
+// one does now or none will. allows reports whether a region may serve the request; nil allows all.
+func (b *Balancer) UntilAccepted(now time.Time, allows func(region string) bool) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	allowed := func(u *upstreamState) bool { return allows == nil || allows(u.Region) }
+	for _, u := range b.upstreams {
+		if allowed(u) && !u.backingOff(now) && !b.isDraining(u, now) {
+			return 0
+		}
+	}
+	var backoff *BackoffError
+	if errors.As(b.noUpstreamError(now, allowed), &backoff) {
+		return backoff.RetryAfter
+	}
+	return 0
+}
+
 // countSend counts a request that is sent in spite of an announcement.
 func (b *Balancer) countSend(u *upstreamState, now time.Time) {
 	if b.announcedDrain(u, now) {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -46,7 +46,7 @@
 	peerReportTTL = time.Second
 )
 
-// Errors of Pick and PickObject.
+// Errors of Pick and PickObject. BackoffError is another.
 var (
 	// ErrNoSlot reports that every allowed upstream is full.
 	ErrNoSlot = errors.New("balance: no free slot")
@@ -102,6 +102,10 @@
 	// peerTotal their sum.
 	peerRequests map[string]int
 	peerTotal    int
+	// peerBackoffs holds, by peer, the number of entries that the upstream has asked to send nothing,
+	// peerBackoffTotal their sum.
+	peerBackoffs     map[string]int
+	peerBackoffTotal int
 	// outcomes counts the outcomes of this entry's requests, peerOutcomes those that peers
 	// reported.
 	outcomes     decayedOutcomes
@@ -181,6 +185,8 @@
 	// the upstreams are to be computed again.
 	routed       bool
 	weightsStale bool
+	// turningAwayUntil is the time until which some upstreams are expected to turn requests away.
+	turningAwayUntil time.Time
 	// retained holds the announcements of upstreams that have left the service, by incarnation.
 	retained      map[uint32]retainedAvailability
 	announcements AnnouncementCounts
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -51,7 +51,7 @@
 	if best := b.roundTrip[c.Region]; r.ConnectTime > 0 && (best == 0 || r.ConnectTime < best) {
 		b.roundTrip[c.Region] = r.ConnectTime
 	}
-	if r.Result == Shed && r.Observation.SpareSlots {
+	if r.Result == Shed && r.Observation.SpareSlots && !u.backingOff(now) {
 		// Skipping the upstream would move its objects to upstreams that are cold for them.
 		r.Result = ShedIdle
 	}
@@ -59,6 +59,9 @@
 		u.recordOutcome(now, r.ServerError || r.Result == Unreachable)
 	}
 	b.recordServiceTime(u, now, c, r)
+	if r.Result == OK {
+		u.recordServed(c.SendAt)
+	}
 	b.recordResult(u, now, now.Sub(c.SendAt), r.Result)
 	b.updateMeanLoad(now)
 	b.removeIfIdle(c.ID, u, now)
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -32,16 +32,28 @@
 	// Requests is the number of requests in flight.
 	Requests int
 	Outcomes
+	// BackingOff is the number of entries that the upstream has asked to send nothing now, and
+	// Draining is set if it has announced that it drains. Draining does not depend on the selection.
+	BackingOff int
+	Draining   bool
+}
+
+// none reports whether there is nothing to report about the upstream.
+func (l *Load) none() bool {
+	return l.Requests == 0 && l.Failed == 0 && l.BackingOff == 0 && !l.Draining
 }
 
 // VisitLoads calls visit with the load of each upstream at which the selected entries have requests
-// in flight or had failures. The upstream is identified by its IncarnationKey.
+// in flight, had failures or back off, and of each that drains by its own announcement. The upstream is identified by its IncarnationKey.
 func (b *Balancer) VisitLoads(now time.Time, filter EntryFilter, visit func(upstream uint32, l Load)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, u := range b.upstreams {
-		l := Load{Requests: u.filteredRequests(filter), Outcomes: u.filteredOutcomes(filter, now)}
-		if l.Requests > 0 || l.Failed > 0 {
+		l := Load{
+			Requests: u.filteredRequests(filter), Outcomes: u.filteredOutcomes(filter, now),
+			BackingOff: u.filteredBackoffs(filter, now), Draining: b.sharesDrain(u, now),
+		}
+		if !l.none() {
 			visit(u.incarnationKey, l)
 		}
 	}
@@ -88,6 +100,7 @@
 			u.setPeerRequests(p.Peer, l.Requests)
 		}
 		u.setPeerOutcomes(now, p.Peer, l.Outcomes)
+		b.applyPeerAnnouncements(u, now, p.Peer, l)
 	}
 	b.expirePeers(now)
 }
@@ -102,6 +115,7 @@
 		for _, u := range b.upstreams {
 			u.setPeerRequests(peer, 0)
 			delete(u.peerOutcomes, peer)
+			u.setPeerBackoffs(peer, 0)
 		}
 	}
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -46,7 +46,7 @@
 }
 
 // Pick chooses an upstream and takes one of its slots. It returns ErrNoSlot if all usable upstreams
-// are full, and ErrNoUpstream if there is none.
+// are full, ErrNoUpstream if there is none, or a BackoffError.
 func (b *Balancer) Pick(now time.Time, rnd *rand.Rand, req Request) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -60,7 +60,9 @@
 	case usable:
 		return Choice{}, ErrNoSlot
 	}
-	return Choice{}, ErrNoUpstream
+	return Choice{}, b.noUpstreamError(now, func(u *upstreamState) bool {
+		return slices.Contains(req.Regions, u.Region) && !u.ejected(now) && !slices.Contains(req.Tried, u.ID)
+	})
 }
 
 // pickInRegions picks among the upstreams that excluded does not report. usable is false if there is
@@ -90,7 +92,7 @@
 	all := b.byRegion[region]
 	out := make([]*upstreamState, 0, len(all))
 	for _, u := range all {
-		if !u.ejected(now) && !slices.Contains(tried, u.ID) && !excluded(u, now) {
+		if !u.ejected(now) && !u.backingOff(now) && !slices.Contains(tried, u.ID) && !excluded(u, now) {
 			out = append(out, u)
 		}
 	}
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -70,7 +70,7 @@
 func (b *Balancer) candidatesWithout(excluded func(*upstreamState, time.Time) bool, now time.Time, req ObjectRequest) []candidate {
 	all, responsive := b.scratch.all[:0], b.scratch.responsive[:0]
 	for _, u := range b.upstreams {
-		if excluded(u, now) || !b.usable(u, now, req) {
+		if excluded(u, now) || u.backingOff(now) || !b.usable(u, now, req) {
 			continue
 		}
 		c := candidate{state: u, score: score(req.Object, u)}
@@ -86,7 +86,8 @@
 	return all
 }
 
-// usable reports whether an upstream may serve the request at all, regardless of its load and drain.
+// usable reports whether an upstream may serve the request at all, regardless of its load and
+// its announcements.
 func (b *Balancer) usable(u *upstreamState, now time.Time, req ObjectRequest) bool {
 	if u.ejected(now) || slices.Contains(req.Tried, u.ID) {
 		return false
--- a/internal/balance/retry_budget.go
+++ b/internal/balance/retry_budget.go
@@ -29,6 +29,13 @@
 	b.tokens = min(b.burst, b.tokens+share)
 }
 
+// HasRetry reports whether a retry is allowed now, without taking it.
+func (b *RetryBudget) HasRetry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= 1
+}
+
 // TryWithdraw reports whether one more retry may be made, and counts it if so.
 func (b *RetryBudget) TryWithdraw() bool {
 	b.mu.Lock()
--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -71,6 +71,10 @@
 	Failures int           `json:"failures"`
 	Ejected  bool          `json:"ejected"`
 	Draining bool          `json:"draining"`
+	// BackoffMillis is the time in milliseconds for which the upstream wants no requests from this
+	// entry, Recovering is set until it has served one after that.
+	BackoffMillis int64 `json:"backoff_ms,omitempty"`
+	Recovering    bool  `json:"recovering,omitempty"`
 }
 
 // Dump returns the state of all upstreams, in no particular order.
@@ -79,7 +83,8 @@
 	defer b.mu.Unlock()
 	var out []Status
 	for _, u := range b.byID {
-		out = append(out, Status{u.Upstream, u.inFlight, u.sent, b.outstanding(u, now), u.latency, u.failures, u.ejected(now), b.isDraining(u, now)})
+		out = append(out, Status{u.Upstream, u.inFlight, u.sent, b.outstanding(u, now), u.latency, u.failures, u.ejected(now), b.isDraining(u, now),
+			max(0, u.announced.backoffUntil.Sub(now).Milliseconds()), u.announced.recovering})
 	}
 	return out
 }
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -44,6 +44,9 @@
 		if err == nil {
 			return choice, nil
 		}
+		if backoff := backoffBeyond(err, d.WaitUntil.Sub(now)); backoff != nil {
+			return balance.Choice{}, p.backoffError(backoff)
+		}
 		if errors.Is(err, balance.ErrNoUpstream) {
 			return balance.Choice{}, verdict.New(verdict.NotRun, reasonNoUpstream, err).WithRetryAfter(unavailableRetryAfter)
 		}
@@ -68,9 +71,12 @@
 	choice, err := p.pickObject(now, cl, state)
 	var late *balance.LateError
 	var limit *balance.LimitError
+	var backoff *balance.BackoffError
 	switch {
 	case err == nil:
 		return p.waitForUpstreamLimit(ctx, state, choice)
+	case errors.As(err, &backoff):
+		return balance.Choice{}, p.backoffError(backoff)
 	case errors.As(err, &limit):
 		return balance.Choice{}, verdict.New(verdict.NotRun, reasonUpstreamLimit, err).WithRetryAfter(limit.RetryAfter)
 	case errors.As(err, &late):
@@ -105,8 +111,37 @@
 	reasonLate = "would-be-late"
 	// reasonUpstreamLimit means that the upstreams have reached their limits.
 	reasonUpstreamLimit = "upstream-limit"
+	// reasonBackoff means that the upstreams have asked this entry to send nothing for a time.
+	reasonBackoff = "upstream-backoff"
+)
+
+const (
+	// retryAfterSpreadShare is the largest part of a backoff that is added to the Retry-After of a
+	// refusal, so that callers do not return at one moment; maxRetryAfterSpread bounds it.
+	retryAfterSpreadShare = 0.5
+	maxRetryAfterSpread   = time.Second
 )
 
+// backoffError returns the refusal of a request for which all upstreams back off.
+func (p *Proxy) backoffError(err *balance.BackoffError) *verdict.Error {
+	return verdict.New(verdict.NotRun, reasonBackoff, err).WithRetryAfter(p.spreadRetryAfter(err.RetryAfter))
+}
+
+// spreadRetryAfter adds a random part to the time until upstreams accept requests again.
+func (p *Proxy) spreadRetryAfter(d time.Duration) time.Duration {
+	spread := min(retryAfterSpreadShare*float64(d), float64(maxRetryAfterSpread))
+	return d + time.Duration(p.opt.Rand().Float64()*spread)
+}
+
+// backoffBeyond returns the BackoffError in err if the backoff outlasts the longest wait, else nil.
+func backoffBeyond(err error, longest time.Duration) *balance.BackoffError {
+	var backoff *balance.BackoffError
+	if errors.As(err, &backoff) && backoff.RetryAfter > longest {
+		return backoff
+	}
+	return nil
+}
+
 func reasonOf(err error) string {
 	if errors.Is(err, balance.ErrNoUpstream) {
 		return reasonNoUpstream
@@ -149,6 +184,9 @@
 			if err == nil {
 				return choice, nil
 			}
+			if backoff := backoffBeyond(err, until.Sub(p.now())); backoff != nil {
+				return balance.Choice{}, p.backoffError(backoff)
+			}
 		case <-timer.C:
 			return balance.Choice{}, verdict.New(verdict.NotRun, reasonNoSlot, nil).WithRetryAfter(state.retryAfter(req.Regions[0]))
 		case <-ctx.Done():
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -24,6 +24,9 @@
 	reasonBroken        = "upstream-broken"
 	reasonUnframed      = "answer-unframed"
 	reasonNotRepeatable = "body-not-repeatable"
+	// reasonWithdrawn means that the upstream no longer accepted requests when the request was to be
+	// sent.
+	reasonWithdrawn = "upstream-withdrawn"
 	// reasonCallerBody means that the caller broke off its request body, and reasonTooLarge
 	// that the body exceeds the limit.
 	reasonCallerBody = "caller-body-broken"
@@ -75,7 +78,8 @@
 		sending, done = p.abandonable.add(ctx)
 		defer done()
 	}
-	resp, writes, verr := p.roundTrip(ctx, sending, r, cl, to.Address, func(h http.Header) {
+	writes := &writeTracker{accepts: func() bool { return p.serviceState(cl.service.Name).balancer.Accepts(p.now(), to) }}
+	resp, verr := p.roundTrip(ctx, sending, writes, r, cl, to.Address, func(h http.Header) {
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
 	})
 	p.recordReach(&to.Upstream, sent, writes.newConnection(), verr)
@@ -86,7 +90,6 @@
 	observed := p.observe(cl, to, info.Announcement)
 	if info.NotRunReason != "" {
 		e := verdict.New(verdict.NotRun, info.NotRunReason, fmt.Errorf("upstream answered %s", resp.Status))
-		e.RetryAfter = info.Backoff
 		discard(resp)
 		return &upstreamResponse{info: info, observed: observed}, e
 	}
@@ -102,23 +105,22 @@
 }
 
 // roundTrip sends the call to an address, with a copy of the caller's headers that setHeaders has
-// changed, and returns the response and what was written. sending is the context of the exchange,
-// derived from ctx; the connection counts as broken if it ends first.
-func (p *Proxy) roundTrip(ctx, sending context.Context, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *writeTracker, *verdict.Error) {
+// changed, and returns the response. writes records what was written. sending is the context of the
+// exchange, derived from ctx; the connection counts as broken if it ends first.
+func (p *Proxy) roundTrip(ctx, sending context.Context, writes *writeTracker, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *verdict.Error) {
 	body, ok := cl.body.attach(ctx)
 	if !ok {
-		return nil, new(writeTracker), verdict.New(verdict.NotRun, reasonNotRepeatable, nil)
+		return nil, verdict.New(verdict.NotRun, reasonNotRepeatable, nil)
 	}
-	writes := new(writeTracker)
 	sending = writes.withTrace(sending)
 	if !cl.Idempotent {
 		sending = withNonIdempotent(sending)
 	}
 	resp, err := p.transport.RoundTrip(p.newRequest(sending, r, cl, address, body, setHeaders))
 	if err != nil {
-		return nil, writes, sendError(ctx, cl, writes, err)
+		return nil, sendError(ctx, cl, writes, err)
 	}
-	return resp, writes, nil
+	return resp, nil
 }
 
 // newRequest returns the request for an upstream or a peer.
@@ -169,6 +171,8 @@
 		return verdict.New(v, reasonCallerGone, err)
 	case callerErr != nil:
 		return verdict.New(v, reasonCallerBody, callerErr)
+	case v == verdict.NotRun && errors.Is(err, errWithdrawn):
+		return verdict.New(v, reasonWithdrawn, err)
 	case v == verdict.NotRun:
 		return verdict.New(v, reasonUnreachable, err)
 	}
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -129,7 +129,7 @@
 // response of an upstream, one that the peer generated itself, or an error.
 func (p *Proxy) sendToPeer(ctx context.Context, r *http.Request, cl *call, peer model.Member, attempts int) (*upstreamResponse, *localReply, *verdict.Error) {
 	p.peers.begin(peer.ID)
-	resp, _, err := p.roundTrip(ctx, ctx, r, cl, peer.Entry, func(h http.Header) {
+	resp, err := p.roundTrip(ctx, ctx, new(writeTracker), r, cl, peer.Entry, func(h http.Header) {
 		p.opt.Protocol.SetPeerHeaders(h, &cl.RequestInfo, cl.deadline.Sub(p.now())-handoverMargin)
 		setHandover(h, handover{From: p.opt.Self, Caller: callerIP(r), Attempts: attempts})
 	})
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -63,6 +63,9 @@
 	for tries := 0; len(out) < probesAtOnce && tries < 3*probesAtOnce; tries++ {
 		svc := services[tries%len(services)]
 		u := svc.Upstreams[rand.IntN(len(svc.Upstreams))]
+		if p.serviceState(svc.Name).balancer.BackingOff(p.now(), u.ID) {
+			continue
+		}
 		if domains[u.Domain] && tries < 2*probesAtOnce {
 			continue
 		}
--- a/internal/forward/rollout.go
+++ b/internal/forward/rollout.go
@@ -48,6 +48,7 @@
 // that can take them.
 func (p *Proxy) pickObject(now time.Time, cl *call, state *serviceState) (balance.Choice, error) {
 	req := cl.objectRequest()
+	req.NoTrial = len(cl.tried)+1 >= cl.attempts || !state.budget.HasRetry()
 	traffic := p.rolloutOf(cl.service.Name)
 	if traffic == nil || traffic.Stage == rollout.Switch {
 		return state.balancer.PickObject(now, req)
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -66,6 +66,11 @@
 			p.release(state, choice, reportFor(res, err))
 			continue
 		}
+		if err != nil && err.Reason == reasonWithdrawn {
+			last = err
+			p.release(state, choice, reportFor(res, err))
+			continue
+		}
 		out.Attempts++
 		if err == nil && !retryableResponse(cl, res, out.Attempts) {
 			p.deliver(w, state, cl, choice, res, out)
@@ -92,6 +97,9 @@
 		return
 	}
 	reply := replyFor(last, cl.outcome)
+	if last.Reason == ReasonShed || last.Reason == reasonWithdrawn {
+		reply.retryAfter = p.spreadRetryAfter(state.balancer.UntilAccepted(p.now(), cl.allows))
+	}
 	reply.retryAfter = max(reply.retryAfter, state.retryAfter(regions[0]))
 	p.reply(w, r, cl.body, out, reply)
 }
@@ -139,7 +147,7 @@
 		r.Result = balance.Shed
 	case reasonUnreachable, ReasonReplaced:
 		r.Result = balance.Unreachable
-	case reasonCallerGone, reasonNotRepeatable, reasonCallerBody, reasonTooLarge:
+	case reasonCallerGone, reasonNotRepeatable, reasonCallerBody, reasonTooLarge, reasonWithdrawn:
 		r.Result = balance.Abandoned
 	}
 	return r
--- a/internal/forward/writetracker.go
+++ b/internal/forward/writetracker.go
@@ -12,6 +12,9 @@
 // errSealed is returned by writes to a sealed connection.
 var errSealed = errors.New("forward: request given up before it was written")
 
+// errWithdrawn is returned by the first write of a request that its upstream no longer accepts.
+var errWithdrawn = errors.New("forward: upstream no longer accepts requests")
+
 // trackedConn records whether anything was written since the connection was assigned to a
 // request.
 type trackedConn struct {
@@ -21,25 +24,41 @@
 	sealed  bool
 	// connectTime is the time it took to open the connection.
 	connectTime time.Duration
+	// accepts is called before the first write of a request, which is not made if the result is
+	// false; nil means that it is always made.
+	accepts func() bool
 }
 
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if err := c.beginWrite(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite returns an error if the request must not be written. Time may have passed since the
+// upstream was picked, for example while a connection was opened or the caller's body was read.
+func (c *trackedConn) beginWrite() error {
 	c.mu.Lock()
-	if c.sealed {
-		c.mu.Unlock()
-		return 0, errSealed
+	defer c.mu.Unlock()
+	switch {
+	case c.sealed:
+		return errSealed
+	case !c.written && c.accepts != nil && !c.accepts():
+		c.sealed = true
+		return errWithdrawn
 	}
 	c.written = true
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return nil
 }
 
 // reset marks the connection as unwritten when a request takes it.
-func (c *trackedConn) reset() {
+func (c *trackedConn) reset(accepts func() bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = false
+	c.accepts = accepts
 }
 
 // seal reports whether nothing was written since reset. If so, it makes all later writes fail.
@@ -61,6 +80,8 @@
 	untracked bool
 	// reused is set if the connection served a request before.
 	reused bool
+	// accepts reports whether the upstream still accepts the request; nil means that it does.
+	accepts func() bool
 }
 
 func (w *writeTracker) withTrace(ctx context.Context) context.Context {
@@ -75,7 +96,7 @@
 		w.untracked = true
 		return
 	}
-	c.reset()
+	c.reset(w.accepts)
 	w.conn = c
 	w.reused = info.Reused
 }
--- a/internal/inflight/decode.go
+++ b/internal/inflight/decode.go
@@ -22,7 +22,7 @@
 // Decode decodes a report and checks the ranges of its values. Unknown fields are skipped.
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
-	var upstreams, requests, failures, absent, claim, usages, limitUpdates, rollouts []byte
+	var upstreams, requests, failures, absent, claim, usages, limitUpdates, rollouts, announcements []byte
 	var claims [][]byte
 	var relayed, covered, rolloutScope, usagesScope, scope, maxConnIdle, maxConnIdleLeft, leaving, isolated, answered, idle uint64
 	err := eachField(b, func(field protowire.Number, kind protowire.Type, b []byte) (n int) {
@@ -53,6 +53,8 @@
 			answered, n = protowire.ConsumeVarint(b)
 		case field == fieldIdle && kind == protowire.VarintType:
 			idle, n = protowire.ConsumeVarint(b)
+		case field == fieldAnnouncements && kind == protowire.BytesType:
+			announcements, n = protowire.ConsumeBytes(b)
 		case field == fieldAbsent && kind == protowire.BytesType:
 			absent, n = protowire.ConsumeBytes(b)
 		case field == fieldClaim && kind == protowire.BytesType:
@@ -95,6 +97,9 @@
 	if err := r.decodeCounts(upstreams, requests); err != nil {
 		return nil, err
 	}
+	if err := r.decodeAnnouncements(announcements); err != nil {
+		return nil, err
+	}
 	r.UsagesScope, r.CoveredWeight, r.Relayed = Scope(usagesScope), int(covered), relayed != 0
 	if r.Usages, err = decodeUsages(usages); err != nil {
 		return nil, err
@@ -174,6 +179,23 @@
 	return nil
 }
 
+// decodeAnnouncements decodes the output of appendAnnouncements into r.Counts.
+func (r *Report) decodeAnnouncements(b []byte) error {
+	var v [2]uint64
+	var err error
+	for len(b) > 0 {
+		if b, err = consumeVarints(b, v[:]); err != nil {
+			return err
+		}
+		if v[0] >= uint64(len(r.Counts)) || v[1]>>1 > maxRequests {
+			return errMalformed
+		}
+		c := &r.Counts[v[0]]
+		c.BackingOff, c.Draining = int(v[1]>>1), protowire.DecodeBool(v[1]&1)
+	}
+	return nil
+}
+
 // maxConnIdleMillis bounds MaxConnIdle and MaxConnIdleLeft of an accepted report, in
 // milliseconds.
 const maxConnIdleMillis = 60_000
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -27,6 +27,10 @@
 	// Failed is the number of failures among Total recent requests. Total is encoded
 	// only if some failed.
 	Failed, Total float64
+	// BackingOff is the number of entries that the upstream has asked to send nothing now, and
+	// Draining is set if it has announced that it drains.
+	BackingOff int
+	Draining   bool
 }
 
 // Scope selects the entries whose requests a report counts.
@@ -120,6 +124,7 @@
 	fieldRollouts        = 22
 	fieldAnswered        = 23
 	fieldIsolated        = 24
+	fieldAnnouncements   = 25
 )
 
 const (
@@ -127,6 +132,8 @@
 	// that it fits a datagram.
 	maxCounts   = 150
 	maxFailures = 30
+	// maxAnnouncements bounds the upstreams of one report with announcements.
+	maxAnnouncements = 40
 	// maxAbsent bounds the absent entries of one report for the same reason.
 	maxAbsent = 40
 	// outcomeUnit is the unit in which outcomes are encoded. Outcomes are not whole numbers,
@@ -218,6 +225,7 @@
 	b = protowire.AppendTag(b, fieldRequests, protowire.BytesType)
 	b = protowire.AppendBytes(b, requests)
 	b = appendFailures(b, counts)
+	b = appendAnnouncements(b, counts, r.Sequence)
 	if r.HasUsages {
 		b = protowire.AppendTag(b, fieldUsagesScope, protowire.VarintType)
 		b = protowire.AppendVarint(b, uint64(r.UsagesScope))
@@ -276,3 +284,28 @@
 	b = protowire.AppendTag(b, fieldFailures, protowire.BytesType)
 	return protowire.AppendBytes(b, failures)
 }
+
+// appendAnnouncements appends a field with the index in counts, the entries that back off and the drain
+// of up to maxAnnouncements upstreams with announcements. If there are more, successive reports have
+// them in turn. Without announcements it appends nothing.
+func appendAnnouncements(b []byte, counts []Count, sequence uint64) []byte {
+	var announced []int
+	for i, c := range counts {
+		if c.BackingOff > 0 || c.Draining {
+			announced = append(announced, i)
+		}
+	}
+	if len(announced) == 0 {
+		return b
+	}
+	n := min(len(announced), maxAnnouncements)
+	first := int(sequence % uint64(len(announced)) * maxAnnouncements)
+	var out []byte
+	for k := range n {
+		i := announced[(first+k)%len(announced)]
+		out = protowire.AppendVarint(out, uint64(i))
+		out = protowire.AppendVarint(out, uint64(counts[i].BackingOff)<<1|protowire.EncodeBool(counts[i].Draining))
+	}
+	b = protowire.AppendTag(b, fieldAnnouncements, protowire.BytesType)
+	return protowire.AppendBytes(b, out)
+}
--- a/internal/inflight/report_test.go
+++ b/internal/inflight/report_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestReportRoundTrip(t *testing.T) {
-	want := &Report{Entry: "edge-1", Scope: ScopeOthers, First: 1, Last: 1 << 31, Incarnation: 7, Sequence: 9, Leaving: true, Answered: true, Idle: true, Absent: []uint32{7, 1 << 31}, MaxConnIdle: 150 * time.Millisecond, MaxConnIdleLeft: 4 * time.Second, Counts: []Count{{0xfedcba98, 3, 0, 0}, {1, 400, 2.5, 7}}}
+	want := &Report{Entry: "edge-1", Scope: ScopeOthers, First: 1, Last: 1 << 31, Incarnation: 7, Sequence: 9, Leaving: true, Answered: true, Idle: true, Absent: []uint32{7, 1 << 31}, MaxConnIdle: 150 * time.Millisecond, MaxConnIdleLeft: 4 * time.Second, Counts: []Count{{0xfedcba98, 3, 0, 0, 7, true}, {1, 400, 2.5, 7, 0, false}, {2, 0, 0, 0, 0, true}}}
 	got, err := Decode(want.Append(nil))
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v", got, err)
@@ -17,7 +17,7 @@
 func TestReportFitsADatagram(t *testing.T) {
 	r := Report{Entry: "an entry with a name of some length", Incarnation: 1 << 60, Sequence: 1 << 40}
 	for i := range 5000 {
-		r.Counts = append(r.Counts, Count{uint32(i), 400, 100, 1000})
+		r.Counts = append(r.Counts, Count{uint32(i), 400, 100, 1000, 400, true})
 	}
 	if n := len(r.Append(nil)); n > maxDatagram {
 		t.Errorf("report has %d bytes, more than a datagram", n)
@@ -25,7 +25,7 @@
 }
 
 func TestMalformedReports(t *testing.T) {
-	whole := (&Report{Entry: "e", Counts: []Count{{1, 2, 1, 3}}}).Append(nil)
+	whole := (&Report{Entry: "e", Counts: []Count{{1, 2, 1, 3, 1, true}}}).Append(nil)
 	for name, b := range map[string][]byte{
 		"cut":                     whole[:len(whole)-1],
 		"upstream but no request": {fieldUpstreams<<3 | 2, 4, 1, 2, 3, 4},
@@ -38,8 +38,32 @@
 	}
 }
 
+// TestManyAnnouncementsAreReportedInTurn has more upstreams with announcements than a report holds.
+func TestManyAnnouncementsAreReportedInTurn(t *testing.T) {
+	const n = maxCounts
+	seen := make(map[uint32]bool)
+	for sequence := range uint64(n/maxAnnouncements + 1) {
+		r := Report{Entry: "e", Sequence: 100 + sequence}
+		for i := range n {
+			r.Counts = append(r.Counts, Count{Upstream: uint32(i), Draining: true})
+		}
+		got, err := Decode(r.Append(nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range got.Counts {
+			seen[c.Upstream] = seen[c.Upstream] || c.Draining
+		}
+	}
+	for i := range uint32(n) {
+		if !seen[i] {
+			t.Errorf("the drain of upstream %d was not reported", i)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
-	f.Add((&Report{Entry: "e", Sequence: 3, Counts: []Count{{1, 2, 1, 3}}}).Append(nil))
+	f.Add((&Report{Entry: "e", Sequence: 3, Counts: []Count{{1, 2, 1, 3, 1, true}}}).Append(nil))
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r, err := Decode(b)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -397,7 +397,7 @@
 func (n *Node) requestCounts(filter balance.EntryFilter) []inflight.Count {
 	var out []inflight.Count
 	n.Entry.Proxy.VisitLoads(filter, func(upstream uint32, l balance.Load) {
-		out = append(out, inflight.Count{Upstream: upstream, Requests: l.Requests, Failed: l.Failed, Total: l.Total})
+		out = append(out, inflight.Count{Upstream: upstream, Requests: l.Requests, Failed: l.Failed, Total: l.Total, BackingOff: l.BackingOff, Draining: l.Draining})
 	})
 	return out
 }
@@ -421,7 +421,9 @@
 	}
 	load := balance.PeerLoad{Peer: peer, First: r.First, Last: r.Last, Loads: make(map[uint32]balance.Load, len(r.Counts))}
 	for _, c := range r.Counts {
-		load.Loads[c.Upstream] = balance.Load{Requests: c.Requests, Outcomes: balance.Outcomes{Failed: c.Failed, Total: c.Total}}
+		load.Loads[c.Upstream] = balance.Load{
+			Requests: c.Requests, Outcomes: balance.Outcomes{Failed: c.Failed, Total: c.Total}, BackingOff: c.BackingOff, Draining: c.Draining,
+		}
 	}
 	n.Entry.Proxy.ApplyPeerLoad(load)
 	if r.MaxConnIdleLeft > 0 {
