reach, forward: a second without any answer starts health checks, whose silence is evidence of isolation

Change: the detector knows since when attempts have waited or been given up without an answer at any; after a second health checks are sent, and those that are accepted and not answered in time count while nothing else is answered.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -72,6 +72,9 @@
 // upstream reported that it did not run the request.
 func (p *Proxy) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*upstreamResponse, *verdict.Error) {
 	sent := p.now()
+	p.reach.BeginAttempt(sent)
+	answered := false
+	defer func() { p.reach.EndAttempt(answered) }()
 	sending := ctx
 	if cl.Idempotent {
 		var done func()
@@ -83,6 +86,7 @@
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
 	})
 	p.recordReach(&to.Upstream, sent, writes.newConnection(), verr)
+	answered = verr == nil
 	if verr != nil {
 		return nil, verr
 	}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -93,7 +93,8 @@
 		resp.Body.Close()
 		p.recordReach(&target.upstream, sent, true, nil)
 	case ctx.Err() != nil && !writes.nothingWritten():
-		// The upstream accepted the connection and is slow.
+		// The upstream accepted the connection. It may be slow, or the link silent.
+		p.recordSilence(&target.upstream, sent)
 	default:
 		p.recordReach(&target.upstream, sent, true, verdict.New(verdict.NotRun, reasonUnreachable, err))
 	}
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -15,9 +15,12 @@
 // attempts fail without an answer.
 const reachCheckInterval = 100 * time.Millisecond
 
+// quietCheckInterval is the time between checks of whether attempts get no answer.
+const quietCheckInterval = 300 * time.Millisecond
+
 // recordReach records what an attempt, sent at sent, shows about whether this entry reaches the
 // upstreams. Attempts that ended for other reasons than a failed connection show nothing. A timeout
-// does not either: the upstream may be slow.
+// does not either: the upstream may be slow. A long time without any answer starts health checks.
 func (p *Proxy) recordReach(to *model.Upstream, sent time.Time, newConnection bool, err *verdict.Error) {
 	a := reach.Attempt{Upstream: reach.Upstream{ID: to.ID, Domain: to.Domain}, Sent: sent, NewConnection: newConnection}
 	switch {
@@ -32,12 +35,22 @@
 	}
 }
 
-// RunReachChecks evaluates whether the entry is isolated while attempts fail, until ctx ends.
+// recordSilence records a health check that was sent and not answered in time.
+func (p *Proxy) recordSilence(to *model.Upstream, sent time.Time) {
+	p.reach.RecordSilence(p.now(), reach.Attempt{Upstream: reach.Upstream{ID: to.ID, Domain: to.Domain}, Sent: sent, NewConnection: true})
+}
+
+// RunReachChecks evaluates whether the entry is isolated while attempts fail or get no answer, until ctx
+// ends.
 func (p *Proxy) RunReachChecks(ctx context.Context) {
+	quiet := time.NewTicker(quietCheckInterval)
+	defer quiet.Stop()
 	for {
 		select {
 		case <-p.reachFailed:
 			p.checkReach(ctx)
+		case <-quiet.C:
+			p.checkReach(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -48,8 +61,11 @@
 func (p *Proxy) checkReach(ctx context.Context) {
 	tick := time.NewTicker(reachCheckInterval)
 	defer tick.Stop()
-	probeAt := p.now().Add(probeDelay)
-	for p.reach.Failing() || p.reach.Isolated() {
+	probeAt := p.now()
+	if !p.reach.Unanswered(probeAt) {
+		probeAt = probeAt.Add(probeDelay)
+	}
+	for p.reach.Failing() || p.reach.Isolated() || p.reach.Unanswered(p.now()) {
 		select {
 		case <-tick.C:
 			p.evaluateReach()
@@ -62,7 +78,7 @@
 		}
 		p.probeUpstreams(ctx)
 		probeAt = now.Add(slowProbeInterval)
-		if p.reach.Suspected(now) {
+		if p.reach.Suspected(now) || p.reach.Unanswered(now) {
 			probeAt = now.Add(probeInterval)
 		}
 	}
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -22,7 +22,7 @@
 	// instance at once is over by then.
 	minSilent      = 200 * time.Millisecond
 	minUnconnected = 500 * time.Millisecond
-	// peerDelay is how long after the first failure a peer must report answers. Answers that it
+	// peerDelay is how long after failures began a peer must report answers. Answers that it
 	// reports earlier may have arrived before the upstreams failed for all entries.
 	peerDelay = AnswerWindow + 200*time.Millisecond
 	// peerTimeout is the time without reports of answers at peers after which isolation ends. If no
@@ -37,6 +37,9 @@
 	// maxSuspicion is how long failures without an answer count as possibly the entry's own fault.
 	// Until then they are not reported to other entries.
 	maxSuspicion = 3 * time.Second
+	// maxQuiet is how long attempts wait without an answer at any before health checks are sent. An
+	// entry with little load may wait for one slow answer.
+	maxQuiet = time.Second
 	// loadSuspectAfter is how long attempts must fail without an answer before requests in flight
 	// are no longer reported. An entry with some load gets an answer within that time.
 	loadSuspectAfter = 300 * time.Millisecond
@@ -67,6 +70,11 @@
 	since     time.Time
 	answering map[string]bool
 
+	// inFlight counts the attempts that wait for an answer. waitingSince is since when attempts have
+	// waited, or were given up, without an answer at any; zero if none has.
+	inFlight     int
+	waitingSince time.Time
+
 	answers, failures, isolations int64
 }
 
@@ -91,12 +99,55 @@
 	NewConnection bool
 }
 
+// BeginAttempt records that an attempt is sent. It must be followed by EndAttempt.
+func (d *Detector) BeginAttempt(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight++
+	if d.waitingSince.IsZero() {
+		d.waitingSince = now
+	}
+}
+
+// EndAttempt records the end of an attempt. answered is set if there was a response of any kind, which
+// RecordAnswer has recorded.
+func (d *Detector) EndAttempt(answered bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight--
+	if d.inFlight == 0 && answered {
+		d.waitingSince = time.Time{}
+	}
+}
+
+// Unanswered reports whether attempts have waited, or were given up, for maxQuiet without an answer at
+// any. Upstreams may be slow or the entry's links silent, which health checks tell.
+func (d *Detector) Unanswered(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.waitingSince.IsZero() && now.Sub(d.waitingSince) >= maxQuiet
+}
+
+// RecordSilence records a health check on a new connection that an upstream accepted and did not answer
+// in time. Since upstreams may be slow, it counts only as long as there is no answer on any connection.
+func (d *Detector) RecordSilence(now time.Time, a Attempt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failures++
+	d.silent.addSince(a.Sent, now, a)
+	clear(d.answering)
+}
+
 // RecordAnswer records a response of any kind. During isolation only responses on new connections
 // count, and only to attempts that began during it.
 func (d *Detector) RecordAnswer(now time.Time, a Attempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answers++
+	d.waitingSince = time.Time{}
+	if d.inFlight > 0 {
+		d.waitingSince = now
+	}
 	if d.since.IsZero() {
 		d.silent.end(now)
 		if a.NewConnection {
@@ -159,7 +210,7 @@
 // showsIsolation reports whether failures lie at upstreams everywhere while peers are answered, as
 // of the time at which peers last said so. The caller holds d.mu.
 func (d *Detector) showsIsolation(s *streak, peersAt time.Time) bool {
-	return s.everywhere(d.known, d.peersSince) && !peersAt.Before(s.first.Add(peerDelay))
+	return s.everywhere(d.known, d.peersSince) && !peersAt.Before(s.since.Add(peerDelay))
 }
 
 // lastPeerAnswer returns the time of the last report of answers by a peer, and drops older reports.
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -118,3 +118,54 @@
 		t.Error("own answers are not reported as recent for AnswerWindow")
 	}
 }
+
+// TestSilenceStartsHealthChecks has attempts wait, end without an answer, and be answered.
+func TestSilenceStartsHealthChecks(t *testing.T) {
+	d := NewDetector()
+	now := time.Unix(1000, 0)
+	answer := Attempt{Upstream{"u1", "d1"}, now, false}
+	d.BeginAttempt(now)
+	d.BeginAttempt(now.Add(ms(500)))
+	if d.Unanswered(now.Add(maxQuiet - 1)) {
+		t.Error("unanswered before maxQuiet")
+	}
+	if !d.Unanswered(now.Add(maxQuiet)) {
+		t.Error("not unanswered after maxQuiet")
+	}
+	d.RecordAnswer(now.Add(maxQuiet), answer)
+	d.EndAttempt(true)
+	if d.Unanswered(now.Add(2*maxQuiet - 1)) {
+		t.Error("an answer to one attempt does not restart the wait for the others")
+	}
+	d.EndAttempt(false)
+	if !d.Unanswered(now.Add(2 * maxQuiet)) {
+		t.Error("an attempt that was given up counts as answered")
+	}
+	d.RecordAnswer(now.Add(2*maxQuiet), answer)
+	if d.Unanswered(now.Add(9 * maxQuiet)) {
+		t.Error("unanswered without attempts after a health check was answered")
+	}
+}
+
+// TestSilentHealthChecksShowIsolation has health checks of several upstreams time out while peers are
+// answered: evidence only without an answer on any connection in between.
+func TestSilentHealthChecksShowIsolation(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		d := NewDetector()
+		d.SetKnown(Known{18, 6})
+		now := time.Unix(1000, 0)
+		for i, at := range []int{700, 700, 1000} {
+			sent := now.Add(ms(at - 700))
+			d.RecordSilence(now.Add(ms(at)), Attempt{Upstream{fmt.Sprint("u", i), fmt.Sprint("d", i)}, sent.Add(1), true})
+			if answered && i == 1 {
+				d.RecordAnswer(now.Add(ms(800)), Attempt{Upstream{"u9", "d9"}, now, false})
+			}
+		}
+		for _, at := range []int{-100, 400, 900} {
+			d.RecordPeerAnswers(now.Add(ms(at)), "p")
+		}
+		if isolated, _ := d.Evaluate(now.Add(ms(1000))); isolated == answered {
+			t.Errorf("an answer in between: %v, isolated: %v", answered, isolated)
+		}
+	}
+}
--- a/internal/reach/streak.go
+++ b/internal/reach/streak.go
@@ -10,6 +10,8 @@
 	// the last failure of any.
 	failing     map[string]failure
 	first, last time.Time
+	// since is the time from which answers at peers show that the failures are this entry's own.
+	since time.Time
 	// endedAt is the time of the last answer.
 	endedAt time.Time
 }
@@ -26,12 +28,15 @@
 
 // add adds a failed attempt. An attempt that began before the last answer is ignored: its
 // connection may have broken before that answer.
-func (s *streak) add(now time.Time, a Attempt) {
+func (s *streak) add(now time.Time, a Attempt) { s.addSince(now, now, a) }
+
+// addSince adds an attempt that has failed since an earlier time.
+func (s *streak) addSince(since, now time.Time, a Attempt) {
 	if !a.Sent.After(s.endedAt) {
 		return
 	}
 	if len(s.failing) == 0 {
-		s.first = now
+		s.first, s.since = now, since
 	}
 	s.failing[a.Upstream.ID] = failure{a.Upstream.Domain, a.Sent}
 	s.last = now
