reach, balance: only requests that were sent wait for an answer; the search for a free slot sorts nothing

Cause: read in review. An attempt that found no connection or was withdrawn counted as one without an answer, and a slow body of an answer as a wait. While upstreams turn requests away, the search for a free slot sorted all upstreams. Change: EndAttempt comes with the header; it counts what was sent. The search takes the upstreams in no order.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -213,13 +213,15 @@
 	return b.firstWithinLimit(now, req, ranked)
 }
 
-// fastestWithSpareSlots returns the upstream with the least expected latency among all with a free slot,
-// and its rank; nil if there is none. It is used while some upstreams turn requests away, whose objects
-// would otherwise be refused beside upstreams with free slots.
-func (b *Balancer) fastestWithSpareSlots(now time.Time, req ObjectRequest) (*upstreamState, int) {
-	return b.leastExpected(now, req, b.byScore(now, req), func(_ int, u *upstreamState) bool {
+// fastestWithSpareSlots returns the upstream with the least expected latency among all with a free slot;
+// nil if there is none. It is used while some upstreams turn requests away, whose objects would otherwise
+// be refused beside upstreams with free slots. The rank is that behind the object's replicas.
+func (b *Balancer) fastestWithSpareSlots(now time.Time, req ObjectRequest) (u *upstreamState, rank int) {
+	all := b.markSpillover(b.usableCandidates(now, req), req.NoAffinity)
+	u, _ = b.leastExpected(now, req, all, func(_ int, u *upstreamState) bool {
 		return !u.announced.recovering && b.hasSpareSlots(u, now, 1)
 	})
+	return u, replicas
 }
 
 // hasSpareSlots reports whether an upstream uses at most a share of its slots after one more
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -68,13 +68,11 @@
 }
 
 // attempt sends the call to one upstream. A returned error has the verdict of this attempt
-// alone. The response that is returned with an error is nil, or has only the info field, if the
-// upstream reported that it did not run the request.
+// alone. The response that is returned with an error is nil, or has only the fields info and
+// observed, if the upstream reported that it did not run the request.
 func (p *Proxy) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*upstreamResponse, *verdict.Error) {
 	sent := p.now()
 	p.reach.BeginAttempt(sent)
-	answered := false
-	defer func() { p.reach.EndAttempt(answered) }()
 	sending := ctx
 	if cl.Idempotent {
 		var done func()
@@ -86,7 +84,7 @@
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
 	})
 	p.recordReach(&to.Upstream, sent, writes.newConnection(), verr)
-	answered = verr == nil
+	p.reach.EndAttempt(verr != nil && verr.Verdict != verdict.NotRun)
 	if verr != nil {
 		return nil, verr
 	}
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -109,13 +109,13 @@
 	}
 }
 
-// EndAttempt records the end of an attempt. answered is set if there was a response of any kind, which
-// RecordAnswer has recorded.
-func (d *Detector) EndAttempt(answered bool) {
+// EndAttempt records the end of an attempt. unanswered is set if the request was sent and got no
+// response.
+func (d *Detector) EndAttempt(unanswered bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
-	if d.inFlight == 0 && answered {
+	if d.inFlight == 0 && !unanswered {
 		d.waitingSince = time.Time{}
 	}
 }
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -133,11 +133,11 @@
 		t.Error("not unanswered after maxQuiet")
 	}
 	d.RecordAnswer(now.Add(maxQuiet), answer)
-	d.EndAttempt(true)
+	d.EndAttempt(false)
 	if d.Unanswered(now.Add(2*maxQuiet - 1)) {
 		t.Error("an answer to one attempt does not restart the wait for the others")
 	}
-	d.EndAttempt(false)
+	d.EndAttempt(true)
 	if !d.Unanswered(now.Add(2 * maxQuiet)) {
 		t.Error("an attempt that was given up counts as answered")
 	}
