balance: the recovery from a backoff ends after two seconds without a trial

Cause: read in review. An upstream stayed in recovery until it had served a request, but requests that cannot be retried do not try it: an entry whose routes allow one attempt would have left it for good.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -24,8 +24,8 @@
 	// failure domains. Below it, another warm replica costs more than the traffic that it keeps
 	// within a domain.
 	largeBytes = 3000
-	// maxUnreadySkipped is how many unready upstreams are skipped at the front of an object's order. With half of a region cold, eight in a row
-	// occur for one object in 256.
+	// maxUnreadySkipped is how many unready upstreams are skipped at the front of an object's order.
+	// With half of a region cold, eight in a row occur for one object in 256.
 	maxUnreadySkipped = 8
 	// hugeBytes is the mean size from which each object of a class has a replica in every
 	// failure domain that requests it, whatever their number: keeping the traffic within the
@@ -96,8 +96,7 @@
 }
 
 // replicasFor returns the candidates for an object, at most as many as replicas: in the object's
-// order, but those that are unready last. A request without
-// affinity gets all usable upstreams.
+// order, but those that are unready last. A request without affinity gets all usable upstreams.
 func (b *Balancer) replicasFor(now time.Time, req ObjectRequest) []candidate {
 	t := b.classStats(req.Class)
 	switch {
@@ -128,7 +127,7 @@
 // isUnready reports whether a candidate is cold, turns requests away, awaits its recovery or has no room
 // in its limit now.
 func (b *Balancer) isUnready(c candidate, now time.Time, req ObjectRequest) bool {
-	if c.state.announced.recovering && (req.NoTrial || c.state.awaitsRecovery() || b.turnsAway(c.state, now)) {
+	if c.state.recovering(now) && (req.NoTrial || c.state.awaitsRecovery(now) || b.turnsAway(c.state, now)) {
 		return true
 	}
 	return b.cold(c.state, now) || c.limitWait(now) > 0
@@ -219,7 +218,7 @@
 func (b *Balancer) fastestWithSpareSlots(now time.Time, req ObjectRequest) (u *upstreamState, rank int) {
 	all := b.markSpillover(b.usableCandidates(now, req), req.NoAffinity)
 	u, _ = b.leastExpected(now, req, all, func(_ int, u *upstreamState) bool {
-		return !u.announced.recovering && b.hasSpareSlots(u, now, 1)
+		return !u.recovering(now) && b.hasSpareSlots(u, now, 1)
 	})
 	return u, replicas
 }
--- a/internal/balance/announcement.go
+++ b/internal/balance/announcement.go
@@ -22,6 +22,11 @@
 	// not return at one moment, and backoffSpreadShare its share of the backoff.
 	maxBackoffSpread   = 500 * time.Millisecond
 	backoffSpreadShare = 0.25
+	// maxRecovery is how long after a backoff an upstream gets one request at a time at most. Requests
+	// that cannot be retried do not try it, and an entry may have no others.
+	maxRecovery = 2 * time.Second
+	// minTurnedAway is the smallest number of entries that back off from an upstream that turns all away.
+	minTurnedAway = 2
 	// retention is how long the announcements of an upstream that has left the service are kept, in
 	// case its entry comes back.
 	retention = 10 * time.Minute
@@ -64,10 +69,11 @@
 type availability struct {
 	// drainingSince is when this entry first learnt that the upstream drains; zero if it does not.
 	drainingSince time.Time
-	// backoffUntil is when this entry may send requests again. recovering is set from the beginning of
-	// a backoff until the upstream has served a request sent after its end.
+	// backoffUntil is when this entry may send requests again.
 	backoffUntil time.Time
-	recovering   bool
+	// recoveringUntil is the time until which the upstream gets one request at a time, unless it serves
+	// one sent after the backoff; see maxRecovery.
+	recoveringUntil time.Time
 }
 
 // retainedAvailability is that of an upstream that has left the service.
@@ -172,7 +178,9 @@
 
 // recordTurnsAway records that an upstream turns requests away until a time.
 func (b *Balancer) recordTurnsAway(u *upstreamState, until time.Time) {
-	u.announced.recovering = true
+	if by := until.Add(maxRecovery); by.After(u.announced.recoveringUntil) {
+		u.announced.recoveringUntil = by
+	}
 	if until.After(b.turningAwayUntil) {
 		b.turningAwayUntil = until
 	}
@@ -190,12 +198,19 @@
 
 // awaitsRecovery reports whether a request in flight is to show first whether the upstream accepts
 // requests after a backoff.
-func (u *upstreamState) awaitsRecovery() bool { return u.announced.recovering && u.inFlight > 0 }
+func (u *upstreamState) awaitsRecovery(now time.Time) bool {
+	return u.recovering(now) && u.inFlight > 0
+}
+
+// recovering reports whether the upstream has turned requests away and not served one since.
+func (u *upstreamState) recovering(now time.Time) bool {
+	return now.Before(u.announced.recoveringUntil)
+}
 
 // recordServed ends the recovery from a backoff if the upstream has served a request sent after it.
 func (u *upstreamState) recordServed(sentAt time.Time) {
 	if !sentAt.Before(u.announced.backoffUntil) {
-		u.announced.recovering = false
+		u.announced.recoveringUntil = time.Time{}
 	}
 }
 
@@ -252,12 +267,11 @@
 // turnsAway reports whether an upstream turns most requests of all entries away: more of them back off
 // than have requests in flight there. Upstreams that turn away single requests do not count.
 func (b *Balancer) turnsAway(u *upstreamState, now time.Time) bool {
-	const fewest = 2
 	n := u.peerBackoffTotal
 	if u.backingOff(now) {
 		n++
 	}
-	return n >= fewest && float64(n) > b.outstanding(u, now)
+	return n >= minTurnedAway && float64(n) > b.outstanding(u, now)
 }
 
 // Accepts reports whether a request may still be sent to the upstream of a Choice, by what the upstream
--- a/internal/balance/announcement_test.go
+++ b/internal/balance/announcement_test.go
@@ -246,6 +246,11 @@
 	first := pickObject(t, lb, t0, 1)
 	lb.finish(t0, first, backoffOf(time.Second), DoneInfo{Result: Shed})
 	after := t0.Add(time.Second + maxBackoffSpread)
+	late, err := lb.PickObject(after.Add(maxRecovery), ObjectRequest{Object: HashObject("r", "1"), Class: "r", Objective: time.Second, NoTrial: true})
+	if err != nil || late.ID != first.ID {
+		t.Errorf("after maxRecovery: picked %s, %v", late.ID, err)
+	}
+	lb.Done(after, late, DoneInfo{Result: Abandoned})
 	for _, noTrial := range []bool{true, false} {
 		c, err := lb.PickObject(after, ObjectRequest{Object: HashObject("r", "1"), Class: "r", Objective: time.Second, NoTrial: noTrial})
 		if err != nil || (c.ID == first.ID) == noTrial {
--- a/internal/balance/late.go
+++ b/internal/balance/late.go
@@ -86,7 +86,7 @@
 
 // hasCapacity reports whether an upstream may be sent one more request.
 func (b *Balancer) hasCapacity(u *upstreamState, now time.Time) bool {
-	if now.Before(u.shedUntil) || u.awaitsRecovery() || b.cold(u, now) && !b.allowCold(u, now) {
+	if now.Before(u.shedUntil) || u.awaitsRecovery(now) || b.cold(u, now) && !b.allowCold(u, now) {
 		return false
 	}
 	return b.outstanding(u, now)+1 <= b.capacity(u)
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -43,7 +43,7 @@
 // hasSlot reports whether an upstream has a free slot, and room in its limit, for one more
 // request.
 func (b *Balancer) hasSlot(u *upstreamState, now time.Time) bool {
-	if now.Before(u.shedUntil) || u.awaitsRecovery() || !u.withinLimit(now) {
+	if now.Before(u.shedUntil) || u.awaitsRecovery(now) || !u.withinLimit(now) {
 		return false
 	}
 	return b.outstanding(u, now)+1 <= b.usableSlots(u, now)+0.5
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -44,7 +44,8 @@
 }
 
 // VisitLoads calls visit with the load of each upstream at which the selected entries have requests
-// in flight, had failures or back off, and of each that drains by its own announcement. The upstream is identified by its IncarnationKey.
+// in flight, had failures or back off, and of each that drains by its own announcement. The upstream
+// is identified by its IncarnationKey.
 func (b *Balancer) VisitLoads(now time.Time, filter EntryFilter, visit func(upstream uint32, l Load)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -84,7 +84,7 @@
 	var out []Status
 	for _, u := range b.byID {
 		out = append(out, Status{u.Upstream, u.inFlight, u.sent, b.outstanding(u, now), u.latency, u.failures, u.ejected(now), b.isDraining(u, now),
-			max(0, u.announced.backoffUntil.Sub(now).Milliseconds()), u.announced.recovering})
+			max(0, u.announced.backoffUntil.Sub(now).Milliseconds()), u.recovering(now)})
 	}
 	return out
 }
