--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TEST_TIMEOUT ?= 40m
 export GOTOOLCHAIN = local
 
-.PHONY: build run up upgrade test known-red lint generate overhead slopes measure ablate play
+.PHONY: build run up upgrade test race race-long known-red lint generate overhead slopes measure ablate play
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -31,21 +31,34 @@
 # The file is printed and the tests run, but their result does not fail the build.
 KNOWN_RED := $(shell cut -d: -f1 KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 ifneq ($(KNOWN_RED),)
-ONLY_GREEN := -skip '^($(KNOWN_RED))$$'
+SKIP := ^($(KNOWN_RED))$$
 
 known-red:
 	@cat KNOWN-RED.txt
 	-$(GO) test -count=1 -run '^($(KNOWN_RED))$$' ./...
 else
+# No test has this name.
+SKIP := ^$$
+
 known-red:
 	@echo "no known red tests"
 endif
 
+# The tests that take longest with the race detector. They run beside the others.
+LONG := ^TestPropagation
+RACE := $(GO) test -race -cpu=1 -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT)
+
 # Runs every test twice in random order, once with the race detector. That run uses one
-# processor: with several, the race detector of Go 1.26 crashes in tests with virtual time.
+# processor a process: with several, the race detector of Go 1.26 crashes in tests with virtual time.
 test: lint build known-red
-	$(GO) test -race -cpu=1 -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT) $(ONLY_GREEN) ./...
-	$(GO) test -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT) $(ONLY_GREEN) ./...
+	$(MAKE) --no-print-directory -j2 --output-sync=none race race-long
+	$(GO) test -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT) -skip '$(SKIP)' ./...
+
+race:
+	$(RACE) -skip '$(SKIP)|$(LONG)' ./...
+
+race-long:
+	$(RACE) -run '$(LONG)' -skip '$(SKIP)' ./platform
 
 # Generates the protobuf code. Needs buf, protoc-gen-go and protoc-gen-go-drpc.
 generate:
