balance: numbers that peers report are one type

Cause: the sums of peers' requests and of their backoffs were written twice. Change: peerCounts. No behaviour.

--- a/internal/balance/announcement.go
+++ b/internal/balance/announcement.go
@@ -214,37 +214,12 @@
 	}
 }
 
-// filteredBackoffs returns the number of the selected entries that back off from the upstream.
-func (u *upstreamState) filteredBackoffs(filter EntryFilter, now time.Time) int {
-	n := 0
-	if filter.Own && u.backingOff(now) {
-		n = 1
-	}
-	if filter.Peers == nil {
-		return n
-	}
-	for peer, backoffs := range u.peerBackoffs {
-		if filter.Peers(peer) {
-			n += backoffs
-		}
-	}
-	return n
-}
-
-// setPeerBackoffs sets the number of entries that back off from the upstream by a peer's report.
-func (u *upstreamState) setPeerBackoffs(peer string, n int) {
-	if n == u.peerBackoffs[peer] {
-		return
-	}
-	if u.peerBackoffs == nil {
-		u.peerBackoffs = make(map[string]int)
-	}
-	u.peerBackoffTotal += n - u.peerBackoffs[peer]
-	if n == 0 {
-		delete(u.peerBackoffs, peer)
-		return
+// ownBackoffs returns 1 if this entry backs off from the upstream, else 0.
+func (u *upstreamState) ownBackoffs(now time.Time) int {
+	if u.backingOff(now) {
+		return 1
 	}
-	u.peerBackoffs[peer] = n
+	return 0
 }
 
 // sharesDrain reports whether other entries are to be told that an upstream drains: they are not if
@@ -258,7 +233,7 @@
 	if l.Draining && b.identifiesIncarnation(u) {
 		b.recordDrain(u, now)
 	}
-	u.setPeerBackoffs(peer, l.BackingOff)
+	u.peerBackoffs.set(peer, l.BackingOff)
 	if b.turnsAway(u, now) {
 		b.recordTurnsAway(u, now.Add(peerReportTTL))
 	}
@@ -267,10 +242,7 @@
 // turnsAway reports whether an upstream turns most requests of all entries away: more of them back off
 // than have requests in flight there. Upstreams that turn away single requests do not count.
 func (b *Balancer) turnsAway(u *upstreamState, now time.Time) bool {
-	n := u.peerBackoffTotal
-	if u.backingOff(now) {
-		n++
-	}
+	n := u.peerBackoffs.total + u.ownBackoffs(now)
 	return n >= minTurnedAway && float64(n) > b.outstanding(u, now)
 }
 
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -99,13 +99,8 @@
 	// of the object.
 	lastServed map[uint64]time.Time
 	// peerRequests holds the number of requests that each peer has in flight at the upstream,
-	// peerTotal their sum.
-	peerRequests map[string]int
-	peerTotal    int
-	// peerBackoffs holds, by peer, the number of entries that the upstream has asked to send nothing,
-	// peerBackoffTotal their sum.
-	peerBackoffs     map[string]int
-	peerBackoffTotal int
+	// peerBackoffs, by the reporting peer, that of entries that the upstream has asked to send nothing.
+	peerRequests, peerBackoffs peerCounts
 	// outcomes counts the outcomes of this entry's requests, peerOutcomes those that peers
 	// reported.
 	outcomes     decayedOutcomes
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -10,7 +10,7 @@
 // they are taken from the upstream's last load report, which gives way to the mean load as it ages.
 func (b *Balancer) outstanding(u *upstreamState, now time.Time) float64 {
 	if len(b.lastPeerReport) > 0 {
-		return float64(u.inFlight + u.peerTotal)
+		return float64(u.inFlight + u.peerRequests.total)
 	}
 	w := 0.0
 	if !u.reportedAt.IsZero() {
@@ -28,7 +28,7 @@
 	n := 0
 	for _, u := range b.byID {
 		if u.Version != version {
-			n += u.inFlight + u.peerTotal
+			n += u.inFlight + u.peerRequests.total
 		}
 	}
 	return n
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -51,8 +51,8 @@
 	defer b.mu.Unlock()
 	for _, u := range b.upstreams {
 		l := Load{
-			Requests: u.filteredRequests(filter), Outcomes: u.filteredOutcomes(filter, now),
-			BackingOff: u.filteredBackoffs(filter, now), Draining: b.sharesDrain(u, now),
+			Requests: u.peerRequests.sum(filter, u.inFlight), Outcomes: u.filteredOutcomes(filter, now),
+			BackingOff: u.peerBackoffs.sum(filter, u.ownBackoffs(now)), Draining: b.sharesDrain(u, now),
 		}
 		if !l.none() {
 			visit(u.incarnationKey, l)
@@ -60,23 +60,6 @@
 	}
 }
 
-// filteredRequests returns the number of requests in flight of the selected entries.
-func (u *upstreamState) filteredRequests(filter EntryFilter) int {
-	n := 0
-	if filter.Own {
-		n = u.inFlight
-	}
-	if filter.Peers == nil {
-		return n
-	}
-	for peer, requests := range u.peerRequests {
-		if filter.Peers(peer) {
-			n += requests
-		}
-	}
-	return n
-}
-
 // PeerLoad is a peer's report of its load at the upstreams whose IncarnationKey lies from First to
 // Last. The peer has no load at upstreams of this range that are missing from Loads.
 type PeerLoad struct {
@@ -97,9 +80,7 @@
 			continue
 		}
 		l := p.Loads[h]
-		if was := u.peerRequests[p.Peer]; was != l.Requests {
-			u.setPeerRequests(p.Peer, l.Requests)
-		}
+		u.peerRequests.set(p.Peer, l.Requests)
 		u.setPeerOutcomes(now, p.Peer, l.Outcomes)
 		b.applyPeerAnnouncements(u, now, p.Peer, l)
 	}
@@ -114,22 +95,50 @@
 		}
 		delete(b.lastPeerReport, peer)
 		for _, u := range b.upstreams {
-			u.setPeerRequests(peer, 0)
+			u.peerRequests.set(peer, 0)
 			delete(u.peerOutcomes, peer)
-			u.setPeerBackoffs(peer, 0)
+			u.peerBackoffs.set(peer, 0)
 		}
 	}
 }
 
-// setPeerRequests sets the number of requests that a peer has in flight at the upstream.
-func (u *upstreamState) setPeerRequests(peer string, n int) {
-	if u.peerRequests == nil {
-		u.peerRequests = make(map[string]int)
+// peerCounts holds a number that each peer reported, and their sum. The zero value is empty.
+type peerCounts struct {
+	byPeer map[string]int
+	total  int
+}
+
+// set sets the number of a peer.
+func (c *peerCounts) set(peer string, n int) {
+	was := c.byPeer[peer]
+	if n == was {
+		return
+	}
+	if c.byPeer == nil {
+		c.byPeer = make(map[string]int)
 	}
-	u.peerTotal += n - u.peerRequests[peer]
+	c.total += n - was
 	if n == 0 {
-		delete(u.peerRequests, peer)
+		delete(c.byPeer, peer)
 		return
 	}
-	u.peerRequests[peer] = n
+	c.byPeer[peer] = n
+}
+
+// sum returns the sum of the numbers of the selected peers, and of own if the filter includes this
+// entry.
+func (c *peerCounts) sum(filter EntryFilter, own int) int {
+	n := 0
+	if filter.Own {
+		n = own
+	}
+	if filter.Peers == nil {
+		return n
+	}
+	for peer, reported := range c.byPeer {
+		if filter.Peers(peer) {
+			n += reported
+		}
+	}
+	return n
 }
--- a/internal/balance/restart_test.go
+++ b/internal/balance/restart_test.go
@@ -39,7 +39,7 @@
 	for range 5 {
 		earlier.recordOutcome(now, true)
 	}
-	earlier.setPeerRequests("e2", 3)
+	earlier.peerRequests.set("e2", 3)
 
 	now = now.Add(2 * time.Second)
 	if got := lb.Update(stateStartedAt(2000), now); len(got) != 1 || got[0] != "10.0.0.1:80" {
@@ -59,9 +59,9 @@
 		earlier.incarnationKey: {Requests: 9, Outcomes: Outcomes{Failed: 9, Total: 9}},
 	}})
 	u := lb.byID["u1"]
-	if u.inFlight != 1 || u.peerTotal != 0 || u.ejected(now) || u.isOutlier(now) || lb.inFlight["m"] != 1 {
+	if u.inFlight != 1 || u.peerRequests.total != 0 || u.ejected(now) || u.isOutlier(now) || lb.inFlight["m"] != 1 {
 		t.Errorf("new incarnation: %d own requests, %d of peers, ejected %v, outlier %v; %d in the region",
-			u.inFlight, u.peerTotal, u.ejected(now), u.isOutlier(now), lb.inFlight["m"])
+			u.inFlight, u.peerRequests.total, u.ejected(now), u.isOutlier(now), lb.inFlight["m"])
 	}
 	if !lb.cold(u, now) {
 		t.Error("the new incarnation is not cold")
