--- a/internal/inflight/decode.go
+++ b/internal/inflight/decode.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
 )
 
 // decodeAbsent decodes the hashes of absent entries into r.Absent.
@@ -220,7 +222,7 @@
 		if q > maxRequests {
 			return errMalformed
 		}
-		r.Counts = append(r.Counts, Count{Upstream: u, Requests: int(q)})
+		r.Counts = append(r.Counts, Count{Upstream: u, Load: balance.Load{Requests: int(q)}})
 	}
 	if len(requests) > 0 {
 		return errCountMismatch
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -90,7 +90,7 @@
 		r.Absent = append(r.Absent, uint32(i))
 	}
 	for i := range 3*maxCounts + 1 {
-		r.Counts = append(r.Counts, Count{Upstream: uint32((i * 7919) % 100_003), Requests: i + 1, Failed: 1, Total: 9})
+		r.Counts = append(r.Counts, countOf(uint32((i*7919)%100_003), i+1, 1, 9, 0, false))
 	}
 	parts := r.split()
 	next, named := uint64(0), 0
@@ -153,7 +153,7 @@
 			n += requests
 		}
 	}
-	return []Count{{Upstream: testUpstream, Requests: n}}
+	return []Count{countOf(testUpstream, n, 0, 0, 0, false)}
 }
 
 // onReport implements Options.OnReport.
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -18,19 +18,11 @@
 	"github.com/loomkeel/loomkeel/internal/rollout"
 )
 
-// Count is the number of requests in flight at an upstream, and recent outcomes there.
+// Count is the load at an upstream. Its Total is encoded only if some requests failed.
 type Count struct {
 	// Upstream is the hash of the upstream's ID, as computed by package balance.
 	Upstream uint32
-	// Requests is the number of requests in flight.
-	Requests int
-	// Failed is the number of failures among Total recent requests. Total is encoded
-	// only if some failed.
-	Failed, Total float64
-	// BackingOff is the number of entries that the upstream has asked to send nothing now, and
-	// Draining is set if it has announced that it drains.
-	BackingOff int
-	Draining   bool
+	balance.Load
 }
 
 // Scope selects the entries whose requests a report counts.
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -64,3 +64,10 @@
 	n.refresh()
 	return n.Entry.Proxy.Snapshot()
 }
+
+// sameSlice reports whether two slices share their memory. The pointer to the members is
+// replaced only with a new list, because fleetCache keeps the fleet until the pointer
+// changes.
+func sameSlice(a, b []model.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
