balance: one search for the first end of a backoff, one map from hashes to numbers

Cause: UntilAccepted made an error to read a time out of it, and backoffSpread repeated the arithmetic of score. Change: firstBackoff and uniform, used by both. A spread differs from before by less than a nanosecond. Measured: tests of balance and of backoffs in platform pass. Conclusion: simpler, no decision changes.

--- a/internal/balance/announcement.go
+++ b/internal/balance/announcement.go
@@ -1,9 +1,9 @@
 package balance
 
 import (
-	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -188,9 +188,8 @@
 
 // backoffSpread returns by how much this entry prolongs a backoff of an upstream.
 func (b *Balancer) backoffSpread(u *upstreamState, backoff time.Duration) time.Duration {
-	const mantissa = 53
-	uniform := float64(mix(u.idHash^xxhash.Sum64String(b.self))>>(64-mantissa)) / (1 << mantissa)
-	return time.Duration(uniform * min(backoffSpreadShare*float64(backoff), float64(maxBackoffSpread)))
+	longest := min(backoffSpreadShare*float64(backoff), float64(maxBackoffSpread))
+	return time.Duration(uniform(u.idHash^xxhash.Sum64String(b.self)) * longest)
 }
 
 // backingOff reports whether the upstream has asked this entry to send nothing now.
@@ -281,6 +280,15 @@
 // noUpstreamError returns the error for a request that no upstream may get: a BackoffError if some
 // of those that usable accepts back off, else ErrNoUpstream.
 func (b *Balancer) noUpstreamError(now time.Time, usable func(*upstreamState) bool) error {
+	if u := b.firstBackoff(now, usable); u != nil {
+		return &BackoffError{Upstream: u.ID, RetryAfter: u.announced.backoffUntil.Sub(now)}
+	}
+	return ErrNoUpstream
+}
+
+// firstBackoff returns the upstream whose backoff ends first among those that usable accepts and that
+// do not drain; nil if none backs off.
+func (b *Balancer) firstBackoff(now time.Time, usable func(*upstreamState) bool) *upstreamState {
 	var first *upstreamState
 	for _, u := range b.upstreams {
 		if !u.backingOff(now) || b.isDraining(u, now) || !usable(u) {
@@ -290,10 +298,7 @@
 			first = u
 		}
 	}
-	if first == nil {
-		return ErrNoUpstream
-	}
-	return &BackoffError{Upstream: first.ID, RetryAfter: first.announced.backoffUntil.Sub(now)}
+	return first
 }
 
 // UntilAccepted returns the time until the first upstream in the given regions accepts requests; 0 if
@@ -302,14 +307,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	allowed := func(u *upstreamState) bool { return allows == nil || allows(u.Region) }
-	for _, u := range b.upstreams {
-		if allowed(u) && !u.backingOff(now) && !b.isDraining(u, now) {
-			return 0
-		}
+	acceptsNow := func(u *upstreamState) bool { return allowed(u) && !u.backingOff(now) && !b.isDraining(u, now) }
+	if slices.ContainsFunc(b.upstreams, acceptsNow) {
+		return 0
 	}
-	var backoff *BackoffError
-	if errors.As(b.noUpstreamError(now, allowed), &backoff) {
-		return backoff.RetryAfter
+	if u := b.firstBackoff(now, allowed); u != nil {
+		return u.announced.backoffUntil.Sub(now)
 	}
 	return 0
 }
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -103,9 +103,13 @@
 // for a share of the objects in proportion to its weight, and an upstream that joins or leaves
 // moves only its own objects.
 func score(object uint64, u *upstreamState) float64 {
+	return -math.Log(uniform(object^u.idHash)) / u.weight
+}
+
+// uniform returns a number between 0 and 1, both excluded, that is uniformly distributed over hashes.
+func uniform(hash uint64) float64 {
 	const mantissa = 53
-	uniform := (float64(mix(object^u.idHash)>>(64-mantissa)) + 0.5) / (1 << mantissa)
-	return -math.Log(uniform) / u.weight
+	return (float64(mix(hash)>>(64-mantissa)) + 0.5) / (1 << mantissa)
 }
 
 // mix is the finalizer of SplitMix64.
