--- a/internal/forward/abandonable.go
+++ b/internal/forward/abandonable.go
@@ -6,7 +6,8 @@
 )
 
 // abandonableSet holds the attempts in flight that may be repeated elsewhere. When the entry becomes
-// isolated and open connections are silent too, they are cancelled, because their responses are lost. It is safe for concurrent use.
+// isolated and open connections are silent too, they are cancelled, because their responses are lost.
+// It is safe for concurrent use.
 type abandonableSet struct {
 	mu     sync.Mutex
 	active map[*context.CancelFunc]struct{}
--- a/internal/forward/announcement.go
+++ b/internal/forward/announcement.go
@@ -18,9 +18,9 @@
 
 // observe passes what a response says about its upstream to the balancer, and logs what is new. It
 // is called once the header has been read, whatever becomes of the response.
-func (p *Proxy) observe(cl *call, from balance.Choice, a balance.Announcement) balance.Observation {
+func (p *Proxy) observe(balancer *balance.Balancer, cl *call, from balance.Choice, a balance.Announcement) balance.Observation {
 	now := p.now()
-	o := p.serviceState(cl.service.Name).balancer.Observe(now, from, a)
+	o := balancer.Observe(now, from, a)
 	switch {
 	case o.DrainStarted:
 		p.logAnnouncement(now, cl, from, "upstream drains", "", nil)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -79,7 +79,8 @@
 		sending, done = p.abandonable.add(ctx)
 		defer done()
 	}
-	writes := &writeTracker{accepts: func() bool { return p.serviceState(cl.service.Name).balancer.Accepts(p.now(), to) }}
+	balancer := p.serviceState(cl.service.Name).balancer
+	writes := &writeTracker{accepts: func() bool { return balancer.Accepts(p.now(), to) }}
 	resp, verr := p.roundTrip(ctx, sending, writes, r, cl, to.Address, func(h http.Header) {
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
 	})
@@ -89,7 +90,7 @@
 		return nil, verr
 	}
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
-	observed := p.observe(cl, to, info.Announcement)
+	observed := p.observe(balancer, cl, to, info.Announcement)
 	if info.NotRunReason != "" {
 		e := verdict.New(verdict.NotRun, info.NotRunReason, fmt.Errorf("upstream answered %s", resp.Status))
 		discard(resp)
--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -93,10 +93,9 @@
 }
 
 // SetRequestHeaders implements Protocol.
-func (Native) SetRequestHeaders(h http.Header, info *RequestInfo, _ *model.Upstream, left time.Duration) {
+func (n Native) SetRequestHeaders(h http.Header, info *RequestInfo, _ *model.Upstream, left time.Duration) {
 	removeOwnHeaders(h)
-	h.Set(header.RequestID, info.ID)
-	h.Set(header.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	n.SetPeerHeaders(h, info, left)
 }
 
 // SetPeerHeaders implements Protocol.
@@ -126,8 +125,8 @@
 	default:
 		out.Limit, _, _ = ParseRate(resp, header.RateLimit)
 	}
-	if out.InvalidReason == "" && MayAskForBackoff(resp, out.Limit) {
-		out.Backoff, _, _ = ParseBackoff(resp)
+	if out.InvalidReason == "" {
+		out.Backoff, _, _ = ParseBackoff(resp, out.Limit)
 	}
 	return out
 }
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -22,12 +22,11 @@
 // upstreams. Attempts that ended for other reasons than a failed connection show nothing. A timeout
 // does not either: the upstream may be slow. A long time without any answer starts health checks.
 func (p *Proxy) recordReach(to *model.Upstream, sent time.Time, newConnection bool, err *verdict.Error) {
-	a := reach.Attempt{Upstream: reach.Upstream{ID: to.ID, Domain: to.Domain}, Sent: sent, NewConnection: newConnection}
 	switch {
 	case err == nil:
-		p.reach.RecordAnswer(p.now(), a)
+		p.reach.RecordAnswer(p.now(), reachAttempt(to, sent, newConnection))
 	case err.Reason == reasonUnreachable || err.Reason == reasonBroken:
-		p.reach.RecordFailure(p.now(), a)
+		p.reach.RecordFailure(p.now(), reachAttempt(to, sent, newConnection))
 		select {
 		case p.reachFailed <- struct{}{}:
 		default:
@@ -37,7 +36,11 @@
 
 // recordSilence records a health check that was sent and not answered in time.
 func (p *Proxy) recordSilence(to *model.Upstream, sent time.Time) {
-	p.reach.RecordSilence(p.now(), reach.Attempt{Upstream: reach.Upstream{ID: to.ID, Domain: to.Domain}, Sent: sent, NewConnection: true})
+	p.reach.RecordSilence(p.now(), reachAttempt(to, sent, true))
+}
+
+func reachAttempt(to *model.Upstream, sent time.Time, newConnection bool) reach.Attempt {
+	return reach.Attempt{Upstream: reach.Upstream{ID: to.ID, Domain: to.Domain}, Sent: sent, NewConnection: newConnection}
 }
 
 // RunReachChecks evaluates whether the entry is isolated while attempts fail or get no answer, until ctx
@@ -48,15 +51,21 @@
 	for {
 		select {
 		case <-p.reachFailed:
-			p.checkReach(ctx)
 		case <-quiet.C:
-			p.checkReach(ctx)
 		case <-ctx.Done():
 			return
 		}
+		if p.reachInDoubt() {
+			p.checkReach(ctx)
+		}
 	}
 }
 
+// reachInDoubt reports whether the entry is isolated, or attempts fail or get no answer.
+func (p *Proxy) reachInDoubt() bool {
+	return p.reach.Failing() || p.reach.Isolated() || p.reach.Unanswered(p.now())
+}
+
 // checkReach probes upstreams and evaluates until upstreams answer again or ctx ends.
 func (p *Proxy) checkReach(ctx context.Context) {
 	tick := time.NewTicker(reachCheckInterval)
@@ -65,7 +74,7 @@
 	if !p.reach.Unanswered(probeAt) {
 		probeAt = probeAt.Add(probeDelay)
 	}
-	for p.reach.Failing() || p.reach.Isolated() || p.reach.Unanswered(p.now()) {
+	for p.reachInDoubt() {
 		select {
 		case <-tick.C:
 			p.evaluateReach()
