--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 # Runs every test twice in random order, once with the race detector. That run uses one
 # processor a process: with several, the race detector of Go 1.26 crashes in tests with virtual time.
 test: lint build known-red
-	$(MAKE) --no-print-directory -j2 --output-sync=none race race-long
+	$(MAKE) --no-print-directory -j2 race race-long
 	$(GO) test -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT) -skip '$(SKIP)' ./...
 
 race:
