pipeline: pipelined requests are served side by side, and callers that leave are noticed

Cause: net/http serves the requests of a connection one after the other, and once it has read a byte of a later request it does not notice that the caller leaves. Pages come pipelined at one of the users: most of those that were late had waited for the answer before them, and upstreams worked on for callers that had left.

Change: package pipeline gives each complete request with a safe method and no body that arrives while another is in progress a net.Conn of its own, which the same http.Server serves; answers leave in order. Anything else waits its turn on the connection itself. process.ListenCallers installs it for the servers of callers' requests; Shutdown and the end of loomkeel-node wait for answers that wait for their turn.

Tests: TestCallerLeavesAfterLaterRequest passes unchanged.

--- a/cmd/loomkeel-entry/main.go
+++ b/cmd/loomkeel-entry/main.go
@@ -56,7 +56,7 @@
 		return eris.Wrap(err, "listen on debug address")
 	}
 	go debugServer.Serve()
-	srv, err := process.ListenTLS(s.Entry.ListenAddress, e.Proxy, serverTLS)
+	srv, err := process.ListenCallers(s.Entry.ListenAddress, e.Proxy, serverTLS)
 	if err != nil {
 		return eris.Wrap(err, "listen for requests")
 	}
--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -55,6 +55,9 @@
 	// dialTimeout limits the wait for a connection to an upstream. The round-trip time
 	// between the regions farthest apart is about 0.2 s.
 	dialTimeout = 700 * time.Millisecond
+	// drainTimeout limits the wait of a stopping process for answers that are complete and wait
+	// for their turn on their connections.
+	drainTimeout = 200 * time.Millisecond
 )
 
 func main() {
@@ -132,7 +135,8 @@
 	metrics.Publish("answer_fields", func() any { return fields.Status() })
 	metrics.Publish("feed", func() any { return feed.Status() })
 	dump := func() any { return stateDump{n.Dump(), feed.Status()} }
-	if err := listen(n, dump, s); err != nil {
+	callers, err := listen(n, dump, s)
+	if err != nil {
 		return err
 	}
 	if err := serveRelay(ctx, s.PeerAddress, feed.RelayServer()); err != nil {
@@ -165,6 +169,11 @@
 	})
 	<-stopCtx.Done()
 	n.Stop(time.Duration(grace.Load()))
+	drainCtx, cancelDrain := context.WithTimeout(ctx, drainTimeout)
+	defer cancelDrain()
+	if err := callers.Drain(drainCtx); err != nil {
+		klog.InfoS("stopped with answers that waited for their turn", "err", err)
+	}
 	return nil
 }
 
@@ -179,29 +188,29 @@
 	}
 }
 
-// listen starts the servers for requests, look-ups, debugging and readiness checks. dump returns
-// the state of the process.
-func listen(n *node.Node, dump func() any, s *platform.Settings) error {
+// listen starts the servers for requests, look-ups, debugging and readiness checks, and returns the
+// first. dump returns the state of the process.
+func listen(n *node.Node, dump func() any, s *platform.Settings) (callers *process.Server, err error) {
+	callers, err = process.ListenCallers(s.EntryAddress, n.Handler(), nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", s.EntryAddress)
+	}
+	go callers.Serve()
 	for _, l := range []struct {
-		addr string
-		open func() (*process.Server, error)
+		addr    string
+		handler http.Handler
 	}{
-		{s.EntryAddress, func() (*process.Server, error) { return process.Listen(s.EntryAddress, n.Handler()) }},
-		{s.DirectoryAddress, func() (*process.Server, error) {
-			return process.Listen(s.DirectoryAddress, platform.DirectoryHandler(n.LookupMembers, n.ServingRegions, s.Bounds.MaxLookupTTL))
-		}},
-		{s.DebugAddress, func() (*process.Server, error) { return process.Listen(s.DebugAddress, debugHandler(n, dump)) }},
-		{s.ReadinessAddress, func() (*process.Server, error) {
-			return process.Listen(s.ReadinessAddress, platform.ReadinessHandler(n.Ready))
-		}},
+		{s.DirectoryAddress, platform.DirectoryHandler(n.LookupMembers, n.ServingRegions, s.Bounds.MaxLookupTTL)},
+		{s.DebugAddress, debugHandler(n, dump)},
+		{s.ReadinessAddress, platform.ReadinessHandler(n.Ready)},
 	} {
-		srv, err := l.open()
+		srv, err := process.Listen(l.addr, l.handler)
 		if err != nil {
-			return eris.Wrapf(err, "listen on %s", l.addr)
+			return nil, eris.Wrapf(err, "listen on %s", l.addr)
 		}
 		go srv.Serve()
 	}
-	return nil
+	return callers, nil
 }
 
 // serveRelay starts the server through which other nodes follow the data that this node has
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -25,6 +25,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/logs"
 	"github.com/loomkeel/loomkeel/internal/metrics"
+	"github.com/loomkeel/loomkeel/internal/pipeline"
 )
 
 // Version is the version of all commands.
@@ -96,6 +97,8 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
+	// pipeline is nil for a Server that serves the requests of a connection one after the other.
+	pipeline *pipeline.Server
 }
 
 // Listen opens a TCP listener on an address and returns a Server that passes its requests to h.
@@ -118,6 +121,18 @@
 	}}, nil
 }
 
+// ListenCallers is ListenTLS for callers' requests: it serves those that are pipelined on one
+// connection side by side, and publishes the expvar pipeline.
+func ListenCallers(addr string, h http.Handler, conf *tls.Config) (*Server, error) {
+	s, err := ListenTLS(addr, h, conf)
+	if err != nil {
+		return nil, err
+	}
+	s.pipeline, s.listener = pipeline.Install(s.http, s.listener)
+	metrics.Publish("pipeline", func() any { return s.pipeline.Status() })
+	return s, nil
+}
+
 // Serve accepts and serves connections until Shutdown. It logs any other error of the listener.
 func (s *Server) Serve() {
 	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -127,7 +142,21 @@
 
 // Shutdown stops accepting connections and waits for the requests in flight until ctx ends. It
 // returns the error of ctx if requests are left.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.Drain(ctx); err != nil {
+		return err
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// Drain ends the serving of pipelined requests side by side and waits until those in progress have
+// been answered. It returns the error of ctx if some are left.
+func (s *Server) Drain(ctx context.Context) error {
+	if s.pipeline == nil {
+		return nil
+	}
+	return s.pipeline.Drain(ctx)
+}
 
 // AddDebugRoutes adds the routes that every process serves: /healthz, /readyz, /debug/vars,
 // /debug/state and the profiles under /debug/pprof. The function ready reports whether the process
