demand: count requests by region, rank and organisation over all entries

Cause: demand by region was taken to be even, and no entry knew how much of which rank and organisation arrives elsewhere, so nothing could divide room by it.

Change: each entry counts the requests that are within their organisation's limit (arrivals) and those that get a slot (admitted), in rates with a memory of a second. Entries report them each 0.4 s, one datagram for a service, to their hub; hubs report the sum of their domain to each other and the sum of all to their entries. Reports are sent only while half of the slots of a region are in use, or were 5 s before; at most four services at a time, in turn; 16 organisations have rows of their own. A report that is not renewed for 1.5 s is dropped; Entries tells how many entries are counted.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -186,6 +186,9 @@
 	retained      map[uint32]retainedAvailability
 	announcements AnnouncementCounts
 
+	// pressedUntil is the time until which the demand for the service is reported; see Pressed.
+	pressedUntil time.Time
+
 	scratch scratch
 }
 
--- /dev/null
+++ b/internal/demand/tracker_test.go
@@ -0,0 +1,164 @@
+package demand
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// sumOf returns the total rates of rows.
+func sumOf(rows []Row) (arrived, admitted float64) {
+	for _, r := range rows {
+		arrived += r.Arrived
+		admitted += r.Admitted
+	}
+	return arrived, admitted
+}
+
+// record counts requests at a rate for some seconds and returns the time of the last.
+func record(t *Tracker, service string, perSecond int, seconds int) time.Time {
+	now := t0
+	for i := range perSecond * seconds {
+		now = t0.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+		t.Record(service, i%3, uint32(i%5), now)
+		if i%2 == 0 {
+			t.RecordAdmitted(service, i%3, uint32(i%5), now)
+		}
+	}
+	return now
+}
+
+func TestRatesFollowRequests(t *testing.T) {
+	tr := NewTracker()
+	tr.SetRegion("thessaly")
+	now := record(tr, "templates", 100, 8)
+	arrived, admitted := sumOf(tr.Rows("templates", now))
+	if math.Abs(arrived-100) > 3 || math.Abs(admitted-50) > 3 {
+		t.Errorf("%v arrived and %v admitted per second, want 100 and 50", arrived, admitted)
+	}
+	for _, r := range tr.Rows("templates", now) {
+		if r.Region != "thessaly" || r.Service != "templates" {
+			t.Errorf("row %+v", r)
+		}
+	}
+	if rows := tr.Rows("templates", now.Add(20*window)); len(rows) != 0 {
+		t.Errorf("long after the last request: %v", rows)
+	}
+	if rows := tr.Rows("archive", now); len(rows) != 0 {
+		t.Errorf("service without requests: %v", rows)
+	}
+}
+
+// TestOrganisationsAreBounded sends one organisation's requests among those of a thousand others. Its
+// row must remain and no request may be lost from the sum.
+func TestOrganisationsAreBounded(t *testing.T) {
+	tr := NewTracker()
+	for i := range 2000 {
+		tr.Record("s", 1, uint32(i%1000)+2, t0)
+		tr.Record("s", 0, 1, t0)
+	}
+	rows := tr.Rows("s", t0)
+	if len(rows) > maxOrganisations+2 {
+		t.Errorf("%d rows", len(rows))
+	}
+	if cells := len(tr.counts("s").cells); cells > maxCells+2 {
+		t.Errorf("%d cells", cells)
+	}
+	if arrived, _ := sumOf(rows); math.Abs(arrived-4000) > 1e-6 {
+		t.Errorf("%v requests in rows, want 4000", arrived)
+	}
+	if rows[0].Organisation != 1 || math.Abs(rows[0].Arrived-2000) > 1e-6 {
+		t.Errorf("heaviest organisation: %+v", rows[0])
+	}
+}
+
+func TestSilentReportersExpire(t *testing.T) {
+	tr := NewTracker()
+	row := Row{Key: Key{Service: "s", Region: "r"}, Arrived: 10}
+	tr.Apply("a", "s", 3, []Row{row}, t0)
+	tr.Apply("b", "s", 1, []Row{row}, t0.Add(time.Second))
+	for _, tt := range []struct {
+		after   time.Duration
+		arrived float64
+		entries int
+	}{{time.Second, 20, 5}, {reportTTL, 10, 2}, {reportTTL + time.Second, 0, 1}} {
+		now := t0.Add(tt.after)
+		arrived, _ := sumOf(tr.Rows("s", now))
+		if arrived != tt.arrived || tr.Entries("s", now) != tt.entries {
+			t.Errorf("after %v: %v from %d entries, want %v from %d", tt.after, arrived, tr.Entries("s", now), tt.arrived, tt.entries)
+		}
+	}
+	tr.Apply("c", "other", 1, nil, t0.Add(time.Minute))
+	if len(tr.reports) != 1 {
+		t.Errorf("%d reporters are kept, want 1", len(tr.reports))
+	}
+}
+
+// TestTotalReplacesSum has a hub report the demand at all entries, which includes the own one.
+func TestTotalReplacesSum(t *testing.T) {
+	tr := NewTracker()
+	tr.Record("s", 0, 0, t0)
+	tr.Apply(Total, "s", 73, []Row{{Key: Key{Service: "s", Region: "r"}, Arrived: 500}}, t0)
+	if arrived, _ := sumOf(tr.Rows("s", t0)); arrived != 500 || tr.Entries("s", t0) != 73 {
+		t.Errorf("%v from %d entries", arrived, tr.Entries("s", t0))
+	}
+	all := func(string) bool { return true }
+	if arrived, _ := sumOf(tr.Sum("s", true, all, t0)); arrived != 1 || tr.Covered("s", true, all, t0) != 1 {
+		t.Errorf("the total is passed on: %v", arrived)
+	}
+	if arrived, _ := sumOf(tr.Rows("s", t0.Add(reportTTL))); arrived >= 1 {
+		t.Errorf("after the hub has become silent: %v", arrived)
+	}
+}
+
+func TestMergeKeepsTheSum(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("sums are kept, rows are unique", prop.ForAll(func(organisations []uint32) bool {
+		var rows []Row
+		for i, o := range organisations {
+			rows = append(rows, Row{Key: Key{Region: fmt.Sprint(i % 2), Rank: i % 3, Organisation: o % 40}, Arrived: float64(i), Admitted: 1})
+		}
+		before, admitted := sumOf(rows)
+		merged := Fit(merge(rows, maxOrganisations), 20)
+		after, admittedAfter := sumOf(merged)
+		keys := make(map[Key]bool)
+		for _, r := range merged {
+			keys[r.Key] = true
+		}
+		return before == after && admitted == admittedAfter && len(keys) == len(merged) && len(merged) <= 20
+	}, gen.SliceOf(gen.UInt32())))
+	properties.TestingRun(t)
+}
+
+func TestConcurrentUse(t *testing.T) {
+	tr := NewTracker()
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for k := range 500 {
+				service := fmt.Sprint("s", k%3)
+				tr.Record(service, k%2, uint32(k), t0)
+				tr.RecordAdmitted(service, k%2, uint32(k), t0)
+				tr.Apply(fmt.Sprint(i), service, 1, []Row{{Key: Key{Service: service}, Arrived: 1}}, t0)
+				tr.Rows(service, t0)
+			}
+		})
+	}
+	wg.Wait()
+	arrived := 0.0
+	for i := range 3 {
+		a, _ := sumOf(tr.OwnRows(fmt.Sprint("s", i), t0))
+		arrived += a
+	}
+	if math.Abs(arrived-4000) > 1e-6 {
+		t.Errorf("%v requests counted, want 4000", arrived)
+	}
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -26,6 +26,8 @@
 	// charged is set while the request counts against its organisation's limit and no upstream
 	// may have run it since it was counted.
 	charged bool
+	// admitted is set once the request has got a slot of an upstream.
+	admitted bool
 	// attempts is the largest number of attempts for the request.
 	attempts int
 	priority int
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -20,6 +20,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/admit"
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/demand"
 	"github.com/loomkeel/loomkeel/internal/logs"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
@@ -127,6 +128,7 @@
 	rollouts           *rollout.Tracker
 	poison             *poison.Tracker
 	organisationLimits *quota.Limiter
+	demand             *demand.Tracker
 	deadlines          *deadlineSet
 	reach              *reach.Detector
 	// reachFailed receives a value after an attempt found no connection or broke.
@@ -177,6 +179,7 @@
 		rollouts:           rollout.NewTracker(),
 		poison:             poison.NewTracker(opt.Self),
 		organisationLimits: quota.NewLimiter(),
+		demand:             demand.NewTracker(),
 		deadlines:          newDeadlineSet(),
 		reach:              reach.NewDetector(),
 		reachFailed:        make(chan struct{}, 1),
@@ -215,6 +218,8 @@
 	}
 	p.reach.SetKnown(knownUpstreams(s))
 	p.rollouts.SetTraffic(trafficOf(s))
+	p.demand.SetRegion(s.Region)
+	p.demand.Retain(func(service string) bool { return s.Services[service] != nil })
 	p.organisationLimits.Update(s.Organisations, s.LimitSlack, now)
 	p.snap.Store(s)
 }
@@ -351,6 +356,7 @@
 			p.reply(w, r, cl.body, out, reply)
 			return
 		}
+		p.recordArrival(cl)
 	}
 	defer p.refundOrganisationLimit(cl)
 	ctx := r.Context()
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -56,6 +56,7 @@
 			break
 		}
 		out.Choice = choice
+		p.recordAdmitted(cl)
 		res, err := p.send(ctx, r, cl, choice)
 		p.recordAlive(choice, res)
 		p.recordForRollout(cl, choice, res, err)
--- a/internal/inflight/decode.go
+++ b/internal/inflight/decode.go
@@ -24,9 +24,9 @@
 // Decode decodes a report and checks the ranges of its values. Unknown fields are skipped.
 func Decode(b []byte) (*Report, error) {
 	r := &Report{Last: allUpstreams}
-	var upstreams, requests, failures, absent, claim, usages, limitUpdates, rollouts, announcements []byte
+	var upstreams, requests, failures, absent, claim, usages, limitUpdates, rollouts, announcements, demand []byte
 	var claims [][]byte
-	var relayed, covered, rolloutScope, usagesScope, scope, maxConnIdle, maxConnIdleLeft, leaving, isolated, answered, idle uint64
+	var relayed, covered, rolloutScope, demandScope, usagesScope, scope, maxConnIdle, maxConnIdleLeft, leaving, isolated, answered, idle uint64
 	err := eachField(b, func(field protowire.Number, kind protowire.Type, b []byte) (n int) {
 		switch {
 		case field == fieldEntry && kind == protowire.BytesType:
@@ -79,6 +79,10 @@
 			r.HasRollouts = true
 		case field == fieldRollouts && kind == protowire.BytesType:
 			rollouts, n = protowire.ConsumeBytes(b)
+		case field == fieldDemandScope && kind == protowire.VarintType:
+			demandScope, n = protowire.ConsumeVarint(b)
+		case field == fieldDemand && kind == protowire.BytesType:
+			demand, n = protowire.ConsumeBytes(b)
 		case field == fieldFirst && kind == protowire.Fixed32Type:
 			r.First, n = protowire.ConsumeFixed32(b)
 		case field == fieldLast && kind == protowire.Fixed32Type:
@@ -91,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if covered > maxCovered || usagesScope >= uint64(ScopeNone) || rolloutScope >= uint64(ScopeNone) || scope > uint64(ScopeNone) || r.First > r.Last || maxConnIdle > maxConnIdleMillis || maxConnIdleLeft > maxConnIdleMillis {
+	if covered > maxCovered || usagesScope >= uint64(ScopeNone) || rolloutScope >= uint64(ScopeNone) || demandScope >= uint64(ScopeNone) || scope > uint64(ScopeNone) || r.First > r.Last || maxConnIdle > maxConnIdleMillis || maxConnIdleLeft > maxConnIdleMillis {
 		return nil, errMalformed
 	}
 	r.Scope, r.Leaving, r.Isolated, r.Answered, r.Idle = Scope(scope), leaving != 0, isolated != 0, answered != 0, idle != 0
@@ -113,6 +117,12 @@
 	if r.Rollouts, err = decodeRollouts(rollouts); err != nil {
 		return nil, err
 	}
+	r.DemandScope = Scope(demandScope)
+	if len(demand) > 0 {
+		if r.Demand, err = decodeDemand(demand); err != nil {
+			return nil, err
+		}
+	}
 	if err := r.decodeAbsent(absent); err != nil {
 		return nil, err
 	}
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -67,6 +67,8 @@
 	UpstreamLimits UpstreamLimits
 	// Rollouts holds the evidence on new versions of services; nil means that none is reported.
 	Rollouts Rollouts
+	// Demand holds the demand for services; nil means that none is reported.
+	Demand Demand
 	// Leaving reports whether the own entry is stopping.
 	Leaving func() bool
 	// Isolated reports whether the own entry is isolated; nil means never.
@@ -108,6 +110,10 @@
 	isHub atomic.Bool
 	// weight is the own entry's weight in the limits; see weights.
 	weight int
+	// demandSentAt is the time of the last reports of demand, firstDemand the index of the service
+	// with which the next ones begin.
+	demandSentAt time.Time
+	firstDemand  int
 	// limitPeers are the peers to which limits of upstreams are sent, changesSentAt is the
 	// time at which changed limits were last sent to them without delay.
 	limitPeers    []Peer
@@ -249,6 +255,7 @@
 		x.sendClaims(fleet.Peers, false)
 		x.sendPeriodicLimitUpdates(fleet, fleet.Peers)
 		x.sendRolloutsToAll(fleet)
+		x.sendDemandToAll(fleet, now)
 		x.sendUsagesToAll(fleet, now)
 	default:
 		x.sendByHubs(fleet, now)
@@ -293,6 +300,7 @@
 	}
 	x.sendPeriodicLimitUpdates(fleet, limitPeersByHubs(x.opt.Entry, hub, busy, idle, remote))
 	x.sendRolloutsByHubs(hub, slices.Concat(busy, idle), remote)
+	x.sendDemandByHubs(hub, slices.Concat(busy, idle), remote, now)
 	if !isHub && len(busy)+len(idle) == 0 {
 		x.sendClaims([]Peer{hub}, false)
 	}
--- a/internal/inflight/hub_test.go
+++ b/internal/inflight/hub_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/demand"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/rollout"
 )
@@ -134,6 +135,7 @@
 	upstreamLimits *fakeUpstreamLimits
 	// rollouts has the evidence on new versions.
 	rollouts *rollout.Tracker
+	demand   *demand.Tracker
 }
 
 // testUpstream is the hash of the only upstream.
@@ -252,6 +254,7 @@
 			e.tracker = poison.NewTracker(e.peer.ID)
 			e.upstreamLimits = newFakeUpstreamLimits()
 			e.rollouts = rollout.NewTracker()
+			e.demand = demand.NewTracker()
 			x, err := Listen(Options{
 				Address: "127.0.0.1:0", Entry: e.peer.ID, Counts: e.counts, OnReport: e.onReport, MaxConnIdle: noMaxConnIdle, Leaving: func() bool { return false }, OnUnknownSender: func(netip.AddrPort) {},
 				Fleet:          func() Fleet { return fleetFor(e, all) },
@@ -259,6 +262,7 @@
 				Busy:           func() bool { return !e.idle.Load() },
 				UpstreamLimits: e.upstreamLimits,
 				Rollouts:       e.rollouts,
+				Demand:         reportedDemand{e.demand},
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/inflight/receive.go
+++ b/internal/inflight/receive.go
@@ -60,6 +60,10 @@
 			x.handleRollouts(r, p)
 			return
 		}
+		if r.Demand != nil {
+			x.handleDemand(r, p, now)
+			return
+		}
 		if r.HasUsages {
 			x.handleUsages(r, p, fleet, now)
 			return
--- a/internal/inflight/report.go
+++ b/internal/inflight/report.go
@@ -37,7 +37,7 @@
 	ScopeDomain
 	// ScopeOthers is the requests of all entries except the receiver.
 	ScopeOthers
-	// ScopeNone is no requests: the report has only Claims, Usages, LimitUpdates or Rollouts.
+	// ScopeNone is no requests: the report has only Claims, Usages, LimitUpdates, Rollouts or Demand.
 	ScopeNone
 )
 
@@ -88,6 +88,10 @@
 	HasRollouts  bool
 	RolloutScope Scope
 	Rollouts     []rollout.Row
+	// Demand is the demand for a service at the entries that DemandScope selects; nil if the report
+	// has none.
+	Demand      *ServiceDemand
+	DemandScope Scope
 }
 
 // Field numbers of the encoding of a Report, a protobuf message.
@@ -117,6 +121,8 @@
 	fieldAnswered        = 23
 	fieldIsolated        = 24
 	fieldAnnouncements   = 25
+	fieldDemandScope     = 26
+	fieldDemand          = 27
 )
 
 const (
@@ -240,6 +246,12 @@
 		b = protowire.AppendTag(b, fieldRollouts, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendRollouts(nil, r.Rollouts))
 	}
+	if r.Demand != nil {
+		b = protowire.AppendTag(b, fieldDemandScope, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(r.DemandScope))
+		b = protowire.AppendTag(b, fieldDemand, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendDemand(nil, r.Demand))
+	}
 	for _, claim := range r.Claims[:min(len(r.Claims), maxClaims)] {
 		b = protowire.AppendTag(b, fieldClaim, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendClaim(nil, &claim))
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/demand"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/inflight"
 	"github.com/loomkeel/loomkeel/internal/model"
@@ -33,6 +34,7 @@
 		OrganisationLimits: organisationLimits{n.Entry.Proxy.OrganisationLimits(), n},
 		UpstreamLimits:     upstreamLimits{n.Entry.Proxy, n},
 		Rollouts:           n.Entry.Proxy.Rollouts(),
+		Demand:             demandReports{n.Entry.Proxy.Demand(), n.Entry.Proxy},
 		Leaving:            n.stopping.Load,
 		Busy:               n.busy,
 		OnReport:           n.handleReport,
@@ -93,3 +95,12 @@
 	}
 	return limit.MaxConnIdle, limit.Until.Sub(n.now())
 }
+
+// demandReports implements inflight.Demand.
+type demandReports struct {
+	*demand.Tracker
+	proxy *forward.Proxy
+}
+
+// Services implements inflight.Demand.
+func (d demandReports) Services(now time.Time) []string { return d.proxy.PressedServices(now) }
