balance: shares of regions follow demand and capacity

Cause: the shares were those of an even demand over slots. A region whose callers are at their peak is full while another, at its trough, is half idle.

Change: capacity by region as it is now (slots times told and measured speed, less what drains, backs off, is ejected, cold or limited), and shares that move what is beyond 0.7 of a region's capacity, or beyond the mean if that is higher, to regions with capacity to spare. At most 0.05 of a region's requests are planned elsewhere than 2 s before; the way back after the pressure takes three times as long; nothing moves for distances under 0.02, nor for up to 5 s while a tenth of the entries has become silent. Each entry decides by the same sums of demand; no state is shared, so no entry can be lost that the others need. Acts only for routed services with upstreams in several regions that tell their load, and requests with objects. What an upstream tells of its slowdown is bounded to 0.5 to 10.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -65,6 +65,7 @@
 	if b.weightsStale {
 		b.updateWeights(now)
 	}
+	b.hasObjects = b.hasObjects || !req.NoAffinity
 	ranked := b.replicasFor(now, req)
 	if len(ranked) == 0 {
 		return Choice{}, b.noUpstreamError(now, func(u *upstreamState) bool { return b.usable(u, now, req) })
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -110,6 +110,9 @@
 	// slowdown is how many times as long as usual work took at slowdownAt, by the upstream's report.
 	slowdown   float64
 	slowdownAt time.Time
+	// relativeTime is the mean of how many times as long as usual this entry's requests took at the
+	// upstream, 0 before the first.
+	relativeTime float64
 	// coldTokens is the number of requests that may be sent while the upstream is cold, as of
 	// coldAt.
 	coldTokens float64
@@ -186,6 +189,10 @@
 	retained      map[uint32]retainedAvailability
 	announcements AnnouncementCounts
 
+	// plan is the decision about the shares of regions. hasObjects is set once a request has had an
+	// object.
+	plan       sharePlan
+	hasObjects bool
 	// pressedUntil is the time until which the demand for the service is reported; see Pressed.
 	pressedUntil time.Time
 
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -53,6 +53,9 @@
 	b.weightsStale = false
 	capacity := b.capacityByRegion(now)
 	share := spreadDemand(b.region, capacity, demandByRegion(b.entries))
+	if len(b.plan.offsets) > 0 {
+		share = withOffsets(share, b.plan.offsets)
+	}
 	for _, u := range b.upstreams {
 		weight := math.Max(minRegionWeight, share[u.Region])
 		u.weight = weight * float64(max(u.Slots, 1)) / math.Max(1, capacity[u.Region])
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Room is the capacity of a service's upstreams in all regions, and its use.
 type Room struct {
@@ -64,3 +67,45 @@
 	}
 	return slots, busy
 }
+
+// currentCapacity returns the slots of each region's upstreams that can be used now: fewer at upstreams
+// that are slow, cold or limited, none at those that drain, back off, are ejected or do not answer.
+// work is the mean service time in seconds. If most upstreams seem to fail, this entry is more likely
+// the one that is cut off, and failures are not counted.
+func (b *Balancer) currentCapacity(now time.Time, work float64) map[string]float64 {
+	failing := 0
+	for _, u := range b.upstreams {
+		if b.seemsDown(u, now) {
+			failing++
+		}
+	}
+	trusted := float64(failing) <= maxEjectionShare*float64(len(b.upstreams))
+	capacity := make(map[string]float64)
+	for _, u := range b.upstreams {
+		switch {
+		case b.isDraining(u, now) || u.backingOff(now) || trusted && b.seemsDown(u, now):
+			capacity[u.Region] += 0
+		default:
+			capacity[u.Region] += b.currentSlots(u, now, work)
+		}
+	}
+	return capacity
+}
+
+// seemsDown reports whether this entry gets no useful answers from an upstream.
+func (b *Balancer) seemsDown(u *upstreamState, now time.Time) bool {
+	return u.ejected(now) || u.isOutlier(now) || b.unresponsive(u, now)
+}
+
+// currentSlots returns the slots of an upstream times its speed, but no more than its limit and, while
+// it is cold, the limit on requests to it can keep busy.
+func (b *Balancer) currentSlots(u *upstreamState, now time.Time, work float64) float64 {
+	slots := float64(max(u.Slots, 1)) * u.speed(now)
+	if u.bucket != nil {
+		slots = math.Min(slots, u.limit.PerSecond()*work)
+	}
+	if b.coldRate > 0 && b.cold(u, now) {
+		slots = math.Min(slots, b.coldRate*work)
+	}
+	return slots
+}
--- a/internal/balance/service_time.go
+++ b/internal/balance/service_time.go
@@ -111,6 +111,9 @@
 	if c.Warm {
 		mean = &t.warm
 	}
+	if *mean > 0 {
+		u.recordRelativeTime(float64(took) / float64(*mean))
+	}
 	updateMean(mean, took)
 	updateMean(&b.meanServiceTime, took)
 }
--- /dev/null
+++ b/internal/forward/regionshares.go
@@ -0,0 +1,35 @@
+package forward
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/demand"
+)
+
+// planShares moves the shares of regions of each service towards what demand and capacity call for.
+func (p *Proxy) planShares(now time.Time) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for name, state := range p.services {
+		d := balance.ServiceDemand{ByRegion: demand.ByRegion(p.demand.Rows(name, now)), Entries: p.demand.Entries(name, now)}
+		if decision, notable := state.balancer.PlanShares(now, d); notable {
+			klog.InfoS("shares of regions changed", "service", name, "shares", decision.Shares, "wanted", decision.Wanted,
+				"demand", decision.Demand, "capacity", decision.Capacity, "entries", decision.Entries)
+		}
+	}
+}
+
+// RegionShares returns the shares of regions of each service, for metrics.
+func (p *Proxy) RegionShares() map[string]balance.ShareDecision {
+	now := p.now()
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make(map[string]balance.ShareDecision, len(p.services))
+	for name, state := range p.services {
+		out[name] = state.balancer.ShareDecision(now)
+	}
+	return out
+}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -98,6 +98,7 @@
 	now := p.opt.SyncNow()
 	p.deadlines.expire(now)
 	p.poison.Expire(now)
+	p.planShares(now)
 }
 
 // PoisonStatus returns the state of the records of requests that crashed upstreams.
@@ -128,6 +129,8 @@
 	Waiting   int                `json:"waiting"`
 	Shares    map[string]float64 `json:"move_shares,omitempty"`
 	Upstreams []balance.Status   `json:"upstreams"`
+	// Regions are the shares of regions and what they were decided from.
+	Regions balance.ShareDecision `json:"regions"`
 }
 
 // Dump returns the state of each service by name.
@@ -137,7 +140,7 @@
 	defer p.mu.RUnlock()
 	out := make(map[string]ServiceStatus, len(p.services))
 	for name, state := range p.services {
-		out[name] = ServiceStatus{state.queue.Len(), state.shift.Shares(), state.balancer.Dump(now)}
+		out[name] = ServiceStatus{state.queue.Len(), state.shift.Shares(), state.balancer.Dump(now), state.balancer.ShareDecision(now)}
 	}
 	return out
 }
