demand: entries report the work that they measured; idle entries report too

Cause: each entry turned rates of requests into slots by its own mean service time.

Change: entries report how many slots their measured requests held and how many these were, and all use the mean over all entries. An entry also reports what its hub reports to it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -193,6 +193,9 @@
 	// object.
 	plan       sharePlan
 	hasObjects bool
+	// measuredWork is the time for which measuredRequests requests held slots since TakeWork.
+	measuredWork     time.Duration
+	measuredRequests int
 	// pressedUntil is the time until which the demand for the service is reported; see Pressed.
 	pressedUntil time.Time
 
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -68,6 +68,16 @@
 	return slots, busy
 }
 
+// TakeWork returns the time for which requests held slots, and the number of these requests, since the
+// last call.
+func (b *Balancer) TakeWork() (busy time.Duration, requests int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	busy, requests = b.measuredWork, b.measuredRequests
+	b.measuredWork, b.measuredRequests = 0, 0
+	return busy, requests
+}
+
 // currentCapacity returns the slots of each region's upstreams that can be used now: fewer at upstreams
 // that are slow, cold or limited, none at those that drain, back off, are ejected or do not answer.
 // work is the mean service time in seconds. If most upstreams seem to fail, this entry is more likely
--- a/internal/balance/service_time.go
+++ b/internal/balance/service_time.go
@@ -116,6 +116,8 @@
 	}
 	updateMean(mean, took)
 	updateMean(&b.meanServiceTime, took)
+	b.measuredWork += took
+	b.measuredRequests++
 }
 
 // updateMean moves a mean towards a new sample; the first sample becomes the mean.
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -29,7 +29,7 @@
 	entryMemory   = 8 * time.Second
 	// maxHold is the longest time for which shares stay as they are for that reason.
 	maxHold = 5 * time.Second
-	// capacityMemory is the time constant of the means of capacities and of the service time.
+	// capacityMemory is the time constant of the means of capacities.
 	capacityMemory = 2 * time.Second
 )
 
@@ -171,6 +171,9 @@
 type ServiceDemand struct {
 	// ByRegion is the rate of requests from each region, per second.
 	ByRegion map[string]float64
+	// Work is the mean time for which a request holds a slot, in seconds, over all entries; 0 if
+	// unknown.
+	Work float64
 	// Entries is the number of entries whose requests are counted.
 	Entries int
 }
@@ -180,7 +183,8 @@
 	at time.Time
 	// offsets are the changes of the even shares, wanted those aimed at.
 	offsets, wanted map[string]float64
-	// work is a slow mean of the service time in seconds, capacity that of the regions' slots.
+	// work is the last known mean time for which a request holds a slot, in seconds, capacity a slow
+	// mean of the regions' slots.
 	work     float64
 	capacity map[string]float64
 	demand   map[string]float64
@@ -223,8 +227,8 @@
 		return ShareDecision{}, false
 	}
 	elapsed = min(elapsed, time.Second)
-	b.measureCapacity(now, elapsed)
 	p.measureDemand(d)
+	b.measureCapacity(now, elapsed)
 	rate := 1.0
 	switch {
 	case p.hold(d.Entries, elapsed):
@@ -299,6 +303,9 @@
 
 // measureDemand converts the rates of requests to slots.
 func (p *sharePlan) measureDemand(d ServiceDemand) {
+	if d.Work > 0 && !math.IsInf(d.Work, 0) {
+		p.work = d.Work
+	}
 	p.demand = make(map[string]float64, len(d.ByRegion))
 	for region, rate := range d.ByRegion {
 		if rate > 0 && !math.IsInf(rate, 0) {
@@ -307,15 +314,10 @@
 	}
 }
 
-// measureCapacity moves the means of the service time and of the regions' capacity.
+// measureCapacity moves the means of the regions' capacity.
 func (b *Balancer) measureCapacity(now time.Time, elapsed time.Duration) {
 	p := &b.plan
 	w := 1 - math.Exp(-float64(elapsed)/float64(capacityMemory))
-	if mean := b.meanServiceTime.Seconds(); p.work == 0 {
-		p.work = mean
-	} else {
-		p.work += w * (mean - p.work)
-	}
 	current := b.currentCapacity(now, p.work)
 	if p.capacity == nil {
 		p.capacity = current
--- a/internal/balance/shares_test.go
+++ b/internal/balance/shares_test.go
@@ -176,7 +176,7 @@
 // both must become equal, in bounded steps, and the shares must return once the demand is even.
 func TestSharesFollowDemand(t *testing.T) {
 	lb := shareEntry(t)
-	uneven := ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 100}, Entries: 4}
+	uneven := ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 100}, Work: 0.2, Entries: 4}
 	now := plan(lb, t0, 1, uneven)
 	before := far(lb, now)
 	for range 10 {
@@ -190,7 +190,7 @@
 	if got := far(lb, now); math.Abs(got-50.0/120) > 0.03 {
 		t.Errorf("%.3f of muscat's requests go to sohar, want 0.417", got)
 	}
-	now = plan(lb, now, 60, ServiceDemand{ByRegion: map[string]float64{"muscat": 200, "sohar": 200}, Entries: 4})
+	now = plan(lb, now, 60, ServiceDemand{ByRegion: map[string]float64{"muscat": 200, "sohar": 200}, Work: 0.2, Entries: 4})
 	if got := far(lb, now); got > shareSlack {
 		t.Errorf("at even demand %.3f still go to sohar", got)
 	}
@@ -199,7 +199,7 @@
 // TestSharesStayWhileComfortable has an uneven demand for which each region has slots.
 func TestSharesStayWhileComfortable(t *testing.T) {
 	lb := shareEntry(t)
-	now := plan(lb, t0, 30, ServiceDemand{ByRegion: map[string]float64{"muscat": 300, "sohar": 10}, Entries: 4})
+	now := plan(lb, t0, 30, ServiceDemand{ByRegion: map[string]float64{"muscat": 300, "sohar": 10}, Work: 0.2, Entries: 4})
 	if got := far(lb, now); got != 0 {
 		t.Errorf("%.3f of muscat's requests go to sohar", got)
 	}
@@ -209,7 +209,7 @@
 // return to the even ones in small steps.
 func TestSharesReturnWithoutNews(t *testing.T) {
 	lb := shareEntry(t)
-	now := plan(lb, t0, 30, ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 100}, Entries: 4})
+	now := plan(lb, t0, 30, ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 100}, Work: 0.2, Entries: 4})
 	before := far(lb, now)
 	silent := ServiceDemand{Entries: 1}
 	if now = plan(lb, now, 4, silent); far(lb, now) != before {
@@ -228,9 +228,9 @@
 // of the other region.
 func TestSharesHoldWhileEntriesAreCutOff(t *testing.T) {
 	lb := shareEntry(t)
-	now := plan(lb, t0, 30, ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 500}, Entries: 4})
+	now := plan(lb, t0, 30, ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 500}, Work: 0.2, Entries: 4})
 	before := far(lb, now)
-	now = plan(lb, now, 4, ServiceDemand{ByRegion: map[string]float64{"muscat": 600}, Entries: 2})
+	now = plan(lb, now, 4, ServiceDemand{ByRegion: map[string]float64{"muscat": 600}, Work: 0.2, Entries: 2})
 	if got := far(lb, now); got != before {
 		t.Errorf("shares changed from %.3f to %.3f while half of the entries is cut off", before, got)
 	}
@@ -240,7 +240,7 @@
 // demand that was comfortable is no longer.
 func TestSharesFollowSpeed(t *testing.T) {
 	lb := shareEntry(t)
-	d := ServiceDemand{ByRegion: map[string]float64{"muscat": 300, "sohar": 100}, Entries: 4}
+	d := ServiceDemand{ByRegion: map[string]float64{"muscat": 300, "sohar": 100}, Work: 0.2, Entries: 4}
 	now := plan(lb, t0, 10, d)
 	if got := far(lb, now); got != 0 {
 		t.Fatalf("%.3f go to sohar at usual speed", got)
@@ -257,7 +257,7 @@
 // TestSharesAsBefore checks that nothing is moved where the configuration or the upstreams do not call
 // for it, however uneven the demand.
 func TestSharesAsBefore(t *testing.T) {
-	d := ServiceDemand{ByRegion: map[string]float64{"muscat": 2000, "sohar": 0}, Entries: 4}
+	d := ServiceDemand{ByRegion: map[string]float64{"muscat": 2000, "sohar": 0}, Work: 0.2, Entries: 4}
 	for name, change := range map[string]func(*Balancer){
 		"no objects": func(lb *Balancer) { lb.hasObjects = false },
 		"not routed": func(lb *Balancer) { lb.routed = false },
@@ -298,7 +298,7 @@
 		}
 		return out
 	}
-	d := ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 100}, Entries: 4}
+	d := ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 100}, Work: 0.2, Entries: 4}
 	now := plan(lb, t0, 1, d)
 	before, share := order(now), far(lb, now)
 	now = plan(lb, now, 2, d)
@@ -346,7 +346,7 @@
 	}
 	for _, m := range members {
 		lb := balancerAt(s, members, m)
-		lb.meanServiceTime, lb.hasObjects = 250*time.Millisecond, true
+		lb.hasObjects = true
 		f.entries = append(f.entries, lb)
 	}
 	return f
@@ -355,9 +355,9 @@
 // step lets all entries decide, with rates that each one knows to a few percent.
 func (f *shareFleet) step(now time.Time, rates map[string]float64) {
 	seen := f.pending
-	f.pending = ServiceDemand{ByRegion: rates, Entries: len(f.entries)}
+	f.pending = ServiceDemand{ByRegion: rates, Work: 0.25, Entries: len(f.entries)}
 	for i, lb := range f.entries {
-		noisy := ServiceDemand{ByRegion: make(map[string]float64), Entries: seen.Entries}
+		noisy := ServiceDemand{ByRegion: make(map[string]float64), Work: seen.Work, Entries: seen.Entries}
 		for region, rate := range seen.ByRegion {
 			noisy.ByRegion[region] = rate * (1 + 0.03*math.Sin(float64(7*i)+float64(now.UnixMilli())))
 		}
--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -12,6 +12,8 @@
 const (
 	// window is the time constant with which a counted request loses its weight in the rates.
 	window = time.Second
+	// workWindow is the same for the measured work, which varies more from request to request.
+	workWindow = 4 * time.Second
 	// reportTTL is the time for which the last report of a reporter is used. Reports come about every
 	// 0.4 s, or every 1.2 s for each of many services.
 	reportTTL = 1500 * time.Millisecond
@@ -37,16 +39,40 @@
 	reports   map[string]report
 }
 
-// report holds the last rows of a reporter by service.
+// Work is the work of the requests for a service that entries have measured.
+type Work struct {
+	// Busy is the number of slots that the measured requests held on average, Rate the number of these
+	// requests per second.
+	Busy, Rate float64
+}
+
+// plus returns the sum of two works.
+func (w Work) plus(x Work) Work { return Work{w.Busy + x.Busy, w.Rate + x.Rate} }
+
+// Mean returns the mean time for which a request holds a slot, in seconds; 0 if none was measured.
+func (w Work) Mean() float64 {
+	if w.Rate <= 0 {
+		return 0
+	}
+	return w.Busy / w.Rate
+}
+
+// Summary is the demand for a service at a number of entries.
+type Summary struct {
+	Entries int
+	Work    Work
+	Rows    []Row
+}
+
+// report holds the last summaries of a reporter by service.
 type report struct {
 	services map[string]serviceReport
 }
 
-// serviceReport holds the rows of one service in a report, and the number of entries that they count.
+// serviceReport is a summary with the time of its arrival.
 type serviceReport struct {
-	at      time.Time
-	entries int
-	rows    []Row
+	Summary
+	at time.Time
 }
 
 // NewTracker returns a Tracker that knows of no requests.
@@ -87,6 +113,9 @@
 type counts struct {
 	mu    sync.Mutex
 	cells map[cellKey]*cell
+	// work holds the decayed slot-seconds and number of measured requests as of workAt.
+	work   Work
+	workAt time.Time
 }
 
 // cell returns a cell as of now. If there are too many, it first adds the lighter half of the
@@ -143,6 +172,38 @@
 	c.cell(cellKey{rank, organisation}, now).admitted++
 }
 
+// RecordWork counts a number of requests that held slots of upstreams for a time, together.
+func (t *Tracker) RecordWork(service string, busy time.Duration, requests int, now time.Time) {
+	c := t.counts(service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decayWork(now)
+	c.work = c.work.plus(Work{busy.Seconds(), float64(requests)})
+}
+
+// decayWork brings the work to a later time.
+func (c *counts) decayWork(now time.Time) {
+	if d := now.Sub(c.workAt); d > 0 {
+		w := math.Exp(-float64(d) / float64(workWindow))
+		c.work = Work{w * c.work.Busy, w * c.work.Rate}
+		c.workAt = now
+	}
+}
+
+// ownWork returns the work of the requests that the own entry has measured.
+func (t *Tracker) ownWork(service string, now time.Time) Work {
+	t.mu.RLock()
+	c := t.services[service]
+	t.mu.RUnlock()
+	if c == nil {
+		return Work{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decayWork(now)
+	return Work{c.work.Busy / workWindow.Seconds(), c.work.Rate / workWindow.Seconds()}
+}
+
 // counts returns the counts of a service, which it creates if needed.
 func (t *Tracker) counts(service string) *counts {
 	t.mu.RLock()
@@ -193,16 +254,6 @@
 	return merge(rows, maxOrganisations)
 }
 
-// Rows returns the demand for a service over all entries that the own one knows of: what the hub
-// reports for all entries, else the sum of the own counts and the reports of other entries. Old
-// reports do not count; see Entries.
-func (t *Tracker) Rows(service string, now time.Time) []Row {
-	if total, ok := t.total(service, now); ok {
-		return slices.Clone(total.rows)
-	}
-	return t.Sum(service, true, func(string) bool { return true }, now)
-}
-
 // Total is the name of the reporter of the demand at all entries.
 const Total = "*"
 
@@ -215,33 +266,51 @@
 }
 
 // Sum returns the demand reported by the reporters that from selects, plus that at the own entry if
-// own is set.
-func (t *Tracker) Sum(service string, own bool, from func(reporter string) bool, now time.Time) []Row {
-	var rows []Row
+// own is set. It never includes the demand at all entries that a hub reports.
+func (t *Tracker) Sum(service string, own bool, from func(reporter string) bool, now time.Time) Summary {
+	var sum Summary
 	if own {
-		rows = t.OwnRows(service, now)
+		sum = Summary{Entries: 1, Work: t.ownWork(service, now), Rows: t.OwnRows(service, now)}
 	}
-	t.visit(service, from, now, func(r serviceReport) { rows = append(rows, r.rows...) })
-	return merge(rows, maxOrganisations)
+	t.visit(service, from, now, func(r serviceReport) {
+		sum.Entries += r.Entries
+		sum.Work = sum.Work.plus(r.Work)
+		sum.Rows = append(sum.Rows, r.Rows...)
+	})
+	sum.Rows = merge(sum.Rows, maxOrganisations)
+	return sum
 }
 
-// Covered returns the number of entries whose demand the result of Sum counts.
-func (t *Tracker) Covered(service string, own bool, from func(reporter string) bool, now time.Time) int {
-	n := 0
-	if own {
-		n = 1
+// Summary returns the demand for a service over all entries that the own one knows of: what the hub
+// reports for all entries, else the sum of the own counts and the reports of other entries. Old
+// reports do not count. The number of entries falls when reports stop to arrive; entries at which the
+// service is not under pressure send none.
+func (t *Tracker) Summary(service string, now time.Time) Summary {
+	if total, ok := t.total(service, now); ok {
+		total.Rows = slices.Clone(total.Rows)
+		return total.Summary
 	}
-	t.visit(service, from, now, func(r serviceReport) { n += r.entries })
-	return n
+	return t.Sum(service, true, func(string) bool { return true }, now)
 }
 
-// Entries returns the number of entries whose demand the result of Rows counts. It falls when
-// reports stop to arrive; entries without any demand for the service send none.
-func (t *Tracker) Entries(service string, now time.Time) int {
-	if total, ok := t.total(service, now); ok {
-		return total.entries
+// Rows returns the rows of Summary.
+func (t *Tracker) Rows(service string, now time.Time) []Row { return t.Summary(service, now).Rows }
+
+// Entries returns the number of entries of Summary.
+func (t *Tracker) Entries(service string, now time.Time) int { return t.Summary(service, now).Entries }
+
+// Announced returns the services of which a hub reports the demand at all entries: the hub expects
+// reports about them.
+func (t *Tracker) Announced(now time.Time) []string {
+	t.reportsMu.Lock()
+	defer t.reportsMu.Unlock()
+	var out []string
+	for service, r := range t.reports[Total].services {
+		if now.Sub(r.at) < reportTTL {
+			out = append(out, service)
+		}
 	}
-	return t.Covered(service, true, func(string) bool { return true }, now)
+	return out
 }
 
 // visit calls f with the fresh reports about a service, except the total.
@@ -256,9 +325,8 @@
 	}
 }
 
-// Apply replaces what a reporter has reported about a service, which counts a number of entries, and
-// drops reports that have expired.
-func (t *Tracker) Apply(reporter, service string, entries int, rows []Row, now time.Time) {
+// Apply replaces what a reporter has reported about a service, and drops reports that have expired.
+func (t *Tracker) Apply(reporter, service string, s Summary, now time.Time) {
 	t.reportsMu.Lock()
 	defer t.reportsMu.Unlock()
 	for name, r := range t.reports {
@@ -272,7 +340,7 @@
 		r = report{services: make(map[string]serviceReport)}
 		t.reports[reporter] = r
 	}
-	r.services[service] = serviceReport{at: now, entries: entries, rows: rows}
+	r.services[service] = serviceReport{s, now}
 }
 
 // Fit returns at most a number of rows with the same sums: fewer organisations have rows of their
--- a/internal/demand/tracker_test.go
+++ b/internal/demand/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -83,8 +84,8 @@
 func TestSilentReportersExpire(t *testing.T) {
 	tr := NewTracker()
 	row := Row{Key: Key{Service: "s", Region: "r"}, Arrived: 10}
-	tr.Apply("a", "s", 3, []Row{row}, t0)
-	tr.Apply("b", "s", 1, []Row{row}, t0.Add(time.Second))
+	tr.Apply("a", "s", Summary{Entries: 3, Rows: []Row{row}}, t0)
+	tr.Apply("b", "s", Summary{Entries: 1, Rows: []Row{row}}, t0.Add(time.Second))
 	for _, tt := range []struct {
 		after   time.Duration
 		arrived float64
@@ -96,7 +97,7 @@
 			t.Errorf("after %v: %v from %d entries, want %v from %d", tt.after, arrived, tr.Entries("s", now), tt.arrived, tt.entries)
 		}
 	}
-	tr.Apply("c", "other", 1, nil, t0.Add(time.Minute))
+	tr.Apply("c", "other", Summary{Entries: 1}, t0.Add(time.Minute))
 	if len(tr.reports) != 1 {
 		t.Errorf("%d reporters are kept, want 1", len(tr.reports))
 	}
@@ -106,13 +107,19 @@
 func TestTotalReplacesSum(t *testing.T) {
 	tr := NewTracker()
 	tr.Record("s", 0, 0, t0)
-	tr.Apply(Total, "s", 73, []Row{{Key: Key{Service: "s", Region: "r"}, Arrived: 500}}, t0)
+	tr.Apply(Total, "s", Summary{Entries: 73, Rows: []Row{{Key: Key{Service: "s", Region: "r"}, Arrived: 500}}}, t0)
 	if arrived, _ := sumOf(tr.Rows("s", t0)); arrived != 500 || tr.Entries("s", t0) != 73 {
 		t.Errorf("%v from %d entries", arrived, tr.Entries("s", t0))
 	}
 	all := func(string) bool { return true }
-	if arrived, _ := sumOf(tr.Sum("s", true, all, t0)); arrived != 1 || tr.Covered("s", true, all, t0) != 1 {
-		t.Errorf("the total is passed on: %v", arrived)
+	if sum := tr.Sum("s", true, all, t0); len(sum.Rows) != 1 || sum.Entries != 1 {
+		t.Errorf("the total is passed on: %v", sum)
+	}
+	if got := tr.Announced(t0); !slices.Equal(got, []string{"s"}) {
+		t.Errorf("announced: %v", got)
+	}
+	if got := tr.Announced(t0.Add(reportTTL)); len(got) != 0 {
+		t.Errorf("announced after the hub has become silent: %v", got)
 	}
 	if arrived, _ := sumOf(tr.Rows("s", t0.Add(reportTTL))); arrived >= 1 {
 		t.Errorf("after the hub has become silent: %v", arrived)
@@ -147,7 +154,8 @@
 				service := fmt.Sprint("s", k%3)
 				tr.Record(service, k%2, uint32(k), t0)
 				tr.RecordAdmitted(service, k%2, uint32(k), t0)
-				tr.Apply(fmt.Sprint(i), service, 1, []Row{{Key: Key{Service: service}, Arrived: 1}}, t0)
+				tr.Apply(fmt.Sprint(i), service, Summary{Entries: 1, Rows: []Row{{Key: Key{Service: service}, Arrived: 1}}}, t0)
+				tr.RecordWork(service, time.Second, 1, t0)
 				tr.Rows(service, t0)
 			}
 		})
@@ -162,3 +170,22 @@
 		t.Errorf("%v requests counted, want 4000", arrived)
 	}
 }
+
+// TestMeanWorkOverEntries has two entries with different work and rates.
+func TestMeanWorkOverEntries(t *testing.T) {
+	tr := NewTracker()
+	if got := tr.Summary("s", t0).Work.Mean(); got != 0 {
+		t.Errorf("mean work before the first request: %v", got)
+	}
+	for i := range 400 {
+		tr.RecordWork("s", 200*time.Millisecond, 1, t0.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	now := t0.Add(40 * time.Second)
+	if w := tr.Summary("s", now).Work; math.Abs(w.Rate-10) > 0.5 || math.Abs(w.Mean()-0.2) > 1e-9 {
+		t.Errorf("own work: %+v", w)
+	}
+	tr.Apply("e", "s", Summary{Entries: 1, Work: Work{Busy: 15, Rate: 30}}, now)
+	if got := tr.Summary("s", now).Work.Mean(); math.Abs(got-17.0/40) > 0.01 {
+		t.Errorf("mean work of both entries: %v", got)
+	}
+}
--- a/internal/forward/regionshares.go
+++ b/internal/forward/regionshares.go
@@ -14,7 +14,11 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for name, state := range p.services {
-		d := balance.ServiceDemand{ByRegion: demand.ByRegion(p.demand.Rows(name, now)), Entries: p.demand.Entries(name, now)}
+		if busy, requests := state.balancer.TakeWork(); requests > 0 {
+			p.demand.RecordWork(name, busy, requests, now)
+		}
+		sum := p.demand.Summary(name, now)
+		d := balance.ServiceDemand{ByRegion: demand.ByRegion(sum.Rows), Work: sum.Work.Mean(), Entries: sum.Entries}
 		if decision, notable := state.balancer.PlanShares(now, d); notable {
 			klog.InfoS("shares of regions changed", "service", name, "shares", decision.Shares, "wanted", decision.Wanted,
 				"demand", decision.Demand, "capacity", decision.Capacity, "entries", decision.Entries)
--- a/internal/inflight/demand.go
+++ b/internal/inflight/demand.go
@@ -28,6 +28,8 @@
 	maxNameLength    = 100
 	// demandUnit is the unit in which rates are encoded, in requests per second.
 	demandUnit = 0.1
+	// workUnit is the unit in which the measured work is encoded, in slots.
+	workUnit = 0.01
 	// maxDemandUnits bounds the rates accepted from a report, maxDemandEntries the entries.
 	maxDemandUnits   = 1 << 27
 	maxDemandEntries = 1 << 16
@@ -40,18 +42,16 @@
 	// Services returns the services whose demand is to be reported now.
 	Services(now time.Time) []string
 	// Sum returns the demand reported by the reporters that from selects, plus that at the own entry
-	// if own is set; Covered returns the number of these entries.
-	Sum(service string, own bool, from func(reporter string) bool, now time.Time) []demand.Row
-	Covered(service string, own bool, from func(reporter string) bool, now time.Time) int
+	// if own is set.
+	Sum(service string, own bool, from func(reporter string) bool, now time.Time) demand.Summary
 	// Apply replaces what a reporter has reported about a service.
-	Apply(reporter, service string, entries int, rows []demand.Row, now time.Time)
+	Apply(reporter, service string, s demand.Summary, now time.Time)
 }
 
 // ServiceDemand is the demand for a service at a number of entries.
 type ServiceDemand struct {
 	Service string
-	Entries int
-	Rows    []demand.Row
+	demand.Summary
 }
 
 // dueDemand returns the services whose demand is to be reported in this period.
@@ -75,8 +75,8 @@
 	if len(peers) == 0 {
 		return
 	}
-	rows := demand.Fit(x.opt.Demand.Sum(service, own, from, now), maxDemandRows)
-	d := &ServiceDemand{Service: service, Entries: x.opt.Demand.Covered(service, own, from, now), Rows: rows}
+	d := &ServiceDemand{Service: service, Summary: x.opt.Demand.Sum(service, own, from, now)}
+	d.Rows = demand.Fit(d.Rows, maxDemandRows)
 	r := Report{
 		Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq,
 		Scope: ScopeNone, Last: allUpstreams, DemandScope: scope, Demand: d,
@@ -120,7 +120,7 @@
 	case ScopeOthers:
 		reporter = demand.Total
 	}
-	x.opt.Demand.Apply(reporter, r.Demand.Service, r.Demand.Entries, r.Demand.Rows, now)
+	x.opt.Demand.Apply(reporter, r.Demand.Service, r.Demand.Summary, now)
 }
 
 // appendDemand appends the encoding of up to maxDemandRows rows. Regions are encoded by their index in
@@ -135,6 +135,8 @@
 	}
 	b = protowire.AppendString(b, d.Service)
 	b = protowire.AppendVarint(b, uint64(d.Entries))
+	b = protowire.AppendVarint(b, uint64(math.Round(d.Work.Busy/workUnit)))
+	b = protowire.AppendVarint(b, uint64(math.Round(d.Work.Rate/demandUnit)))
 	b = protowire.AppendString(b, strings.Join(regions, "\x00"))
 	for _, r := range rows {
 		i := slices.Index(regions, r.Region)
@@ -153,30 +155,31 @@
 // decodeDemand decodes the output of appendDemand.
 func decodeDemand(b []byte) (*ServiceDemand, error) {
 	d := new(ServiceDemand)
-	var v [2]uint64
+	var v [3]uint64
 	var names string
 	var err error
 	if d.Service, b, err = consumeName(b, maxNameLength); err != nil {
 		return nil, err
 	}
-	if b, err = consumeVarints(b, v[:1]); err != nil || v[0] > maxDemandEntries {
+	if b, err = consumeVarints(b, v[:]); err != nil || v[0] > maxDemandEntries || max(v[1], v[2]) > maxDemandUnits {
 		return nil, errMalformed
 	}
 	d.Entries = int(v[0])
+	d.Work = demand.Work{Busy: float64(v[1]) * workUnit, Rate: float64(v[2]) * demandUnit}
 	if names, b, err = consumeName(b, maxDatagram); err != nil {
 		return nil, err
 	}
 	regions := strings.Split(names, "\x00")
 	for len(b) > 0 {
 		r := demand.Row{Key: demand.Key{Service: d.Service}}
-		if b, err = consumeVarints(b, v[:]); err != nil || v[0] >= uint64(len(regions)) || v[1] > maxRank {
+		if b, err = consumeVarints(b, v[:2]); err != nil || v[0] >= uint64(len(regions)) || v[1] > maxRank {
 			return nil, errMalformed
 		}
 		r.Region, r.Rank = regions[v[0]], int(v[1])
 		if r.Organisation, b, err = consumeHash(b); err != nil {
 			return nil, err
 		}
-		if b, err = consumeVarints(b, v[:]); err != nil || v[0] > maxDemandUnits || v[1] > maxDemandUnits {
+		if b, err = consumeVarints(b, v[:2]); err != nil || v[0] > maxDemandUnits || v[1] > maxDemandUnits {
 			return nil, errMalformed
 		}
 		r.Arrived, r.Admitted = float64(v[0])*demandUnit, float64(v[1])*demandUnit
--- a/internal/inflight/demand_test.go
+++ b/internal/inflight/demand_test.go
@@ -61,7 +61,7 @@
 		"none": nil,
 		"full": demandRows(3, 1, 30, demandUnit*maxDemandUnits)[:maxDemandRows],
 	} {
-		r := Report{Entry: "some-entry-with-a-long-name", Scope: ScopeNone, Last: allUpstreams, DemandScope: ScopeOthers, Demand: &ServiceDemand{Service: "templates", Entries: 73, Rows: rows}}
+		r := Report{Entry: "some-entry-with-a-long-name", Scope: ScopeNone, Last: allUpstreams, DemandScope: ScopeOthers, Demand: &ServiceDemand{"templates", demand.Summary{Entries: 73, Work: demand.Work{Busy: 1000 * workUnit, Rate: 400 * demandUnit}, Rows: rows}}}
 		b := r.Append(nil)
 		if len(b) > maxDatagram {
 			t.Errorf("%s: %d bytes, more than a datagram", name, len(b))
@@ -74,21 +74,21 @@
 }
 
 func TestMalformedDemandReport(t *testing.T) {
-	good := &ServiceDemand{Service: "s", Entries: 2, Rows: demandRows(1, 1, 1, 5)}
+	good := &ServiceDemand{"s", demand.Summary{Entries: 2, Rows: demandRows(1, 1, 1, 5)}}
 	for name, change := range map[string]func(*ServiceDemand){
 		"too many entries": func(d *ServiceDemand) { d.Entries = maxDemandEntries + 1 },
 		"too large a rate": func(d *ServiceDemand) { d.Rows[0].Arrived = (maxDemandUnits + 1) * demandUnit },
 		"too large a rank": func(d *ServiceDemand) { d.Rows[0].Rank = maxRank + 1 },
 		"long name":        func(d *ServiceDemand) { d.Service = string(make([]byte, maxNameLength+1)) },
 	} {
-		d := &ServiceDemand{Service: good.Service, Entries: good.Entries, Rows: demandRows(1, 1, 1, 5)}
+		d := &ServiceDemand{good.Service, demand.Summary{Entries: good.Entries, Rows: demandRows(1, 1, 1, 5)}}
 		change(d)
 		if _, err := decodeDemand(appendDemand(nil, d)); !errors.Is(err, errMalformed) {
 			t.Errorf("%s: error %v", name, err)
 		}
 	}
 	encoded := appendDemand(nil, good)
-	whole := len(encoded) - len(appendDemand(nil, &ServiceDemand{Service: "s", Entries: 2})) // bytes of regions and rows
+	whole := len(encoded) - len(appendDemand(nil, &ServiceDemand{"s", demand.Summary{Entries: 2}})) // bytes of regions and rows
 	for n := len(encoded) - whole + 1; n < len(encoded); n++ {
 		if d, err := decodeDemand(encoded[:n]); err == nil && len(d.Rows) > 0 {
 			t.Errorf("the first %d of %d bytes are accepted as a row", n, len(encoded))
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/balance"
@@ -102,5 +103,14 @@
 	proxy *forward.Proxy
 }
 
-// Services implements inflight.Demand.
-func (d demandReports) Services(now time.Time) []string { return d.proxy.PressedServices(now) }
+// Services implements inflight.Demand. An idle entry does not know the load of upstreams and reports
+// what its hub asks for.
+func (d demandReports) Services(now time.Time) []string {
+	out := d.proxy.PressedServices(now)
+	for _, service := range d.Announced(now) {
+		if !slices.Contains(out, service) {
+			out = append(out, service)
+		}
+	}
+	return out
+}
