--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Room is the capacity of a service's upstreams in all regions, and its use.
 type Room struct {
@@ -27,3 +30,92 @@
 	}
 	return r
 }
+
+const (
+	// pressureThreshold is the share of a region's slots in use from which all entries need to know
+	// the demand for the service: it leaves time to act before the region is full.
+	pressureThreshold = 0.5
+	// pressedFor is the time for which the demand is reported after the last pressure.
+	pressedFor = 5 * time.Second
+)
+
+// Pressed reports whether the slots of a region's upstreams are or were recently so much in use that
+// the demand for the service matters to decisions.
+func (b *Balancer) Pressed(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.routed {
+		return false
+	}
+	for region := range b.byRegion {
+		slots, busy := b.regionUse(region, now)
+		if slots > 0 && busy >= pressureThreshold*slots {
+			b.pressedUntil = now.Add(pressedFor)
+		}
+	}
+	return now.Before(b.pressedUntil)
+}
+
+// regionUse returns the slots of the upstreams of a region that do not drain, and the estimated
+// requests there.
+func (b *Balancer) regionUse(region string, now time.Time) (slots, busy float64) {
+	for _, u := range b.byRegion[region] {
+		if !b.isDraining(u, now) {
+			slots += float64(max(u.Slots, 1))
+			busy += b.outstanding(u, now)
+		}
+	}
+	return slots, busy
+}
+
+// TakeWork returns the time for which requests held slots, and the number of these requests, since the
+// last call.
+func (b *Balancer) TakeWork() (busy time.Duration, requests int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	busy, requests = b.measuredWork, b.measuredRequests
+	b.measuredWork, b.measuredRequests = 0, 0
+	return busy, requests
+}
+
+// currentCapacity returns the slots of each region's upstreams that can be used now: fewer at upstreams
+// that are slow, cold or limited, none at those that drain, back off, are ejected or do not answer.
+// work is the mean service time in seconds. If most upstreams seem to fail, this entry is more likely
+// the one that is cut off, and failures are not counted.
+func (b *Balancer) currentCapacity(now time.Time, work float64) map[string]float64 {
+	failing := 0
+	for _, u := range b.upstreams {
+		if b.seemsDown(u, now) {
+			failing++
+		}
+	}
+	trusted := float64(failing) <= maxEjectionShare*float64(len(b.upstreams))
+	capacity := make(map[string]float64)
+	for _, u := range b.upstreams {
+		switch {
+		case b.isDraining(u, now) || u.backingOff(now) || trusted && b.seemsDown(u, now):
+			capacity[u.Region] += 0
+		default:
+			capacity[u.Region] += b.currentSlots(u, now, work)
+		}
+	}
+	return capacity
+}
+
+// seemsDown reports whether this entry gets no useful answers from an upstream.
+func (b *Balancer) seemsDown(u *upstreamState, now time.Time) bool {
+	return u.ejected(now) || u.isOutlier(now) || b.unresponsive(u, now)
+}
+
+// currentSlots returns the slots of an upstream times its speed, but no more than its limit and, while
+// it is cold, the limit on requests to it can keep busy.
+func (b *Balancer) currentSlots(u *upstreamState, now time.Time, work float64) float64 {
+	slots := float64(max(u.Slots, 1)) * u.speed(now)
+	if u.bucket != nil {
+		slots = math.Min(slots, u.limit.PerSecond()*work)
+	}
+	if b.coldRate > 0 && b.cold(u, now) {
+		slots = math.Min(slots, b.coldRate*work)
+	}
+	return slots
+}
