balance: no shares are planned without demand

Cause: shares of regions were planned four times a second for each service, over all of its upstreams, also at nodes without requests. Change: nothing is planned while no demand is known and no shares differ from the even ones. Figures: none measured; most nodes of a large fleet have no requests. Conclusion: the cost is where requests are.

--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -220,6 +220,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := &b.plan
+	if len(d.ByRegion) == 0 && len(p.offsets) == 0 {
+		// Without demand nothing is planned: most nodes of a large fleet have no requests.
+		p.at, p.wanted = time.Time{}, nil
+		return ShareDecision{}, false
+	}
 	elapsed := now.Sub(p.at)
 	first := p.at.IsZero()
 	p.at = now
