poison, forward: requests are not held for what the entry's own links did

Cause: links that reset look like upstreams that crash. A caller that returns twice to a node whose links reset had its request held after three presumed crashes, within 0.2 s of the cut and before the node knew that it was cut off, and was told to come back after two minutes or more. At the start of an isolation crashes were withdrawn from the first failure that counts as evidence on, so those of attempts that were under way at the last answer stayed. A hold also outlived the proof that its upstreams had not crashed.

Change: while failures may be the entry's own, a held request is told to come back within a second; isolation withdraws crashes since the last answer; a hold ends when responses refute the crashes that it followed from.

--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -22,6 +22,9 @@
 	// prefixWait is how long recordBroken waits for the beginning of the request body. The
 	// caller waits for its response meanwhile.
 	prefixWait = 100 * time.Millisecond
+	// suspectedRetryAfter is the longest Retry-After time of a held request while it is not clear
+	// whether upstreams crashed or this entry's own links failed.
+	suspectedRetryAfter = time.Second
 )
 
 // reasonPoison means that upstreams crashed while they ran the same request before.
@@ -46,6 +49,9 @@
 	}
 	d := p.poison.Begin(p.now(), keys)
 	if d.Held {
+		if p.failuresSuspect() {
+			d.RetryAfter = min(d.RetryAfter, suspectedRetryAfter)
+		}
 		return verdict.New(verdict.NotRun, reasonPoison, nil).WithRetryAfter(d.RetryAfter)
 	}
 	cl.inFlightKeys = &keys
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -18,6 +18,9 @@
 // quietCheckInterval is the time between checks of whether attempts get no answer.
 const quietCheckInterval = 300 * time.Millisecond
 
+// answerSkew is by how much an answer may be seen later than connections that broke after it.
+const answerSkew = 100 * time.Millisecond
+
 // recordReach records what an attempt, sent at sent, shows about whether this entry reaches the
 // upstreams. Attempts that ended for other reasons than a failed connection show nothing. A timeout
 // does not either: the upstream may be slow. A long time without any answer starts health checks.
@@ -107,8 +110,9 @@
 		if silent {
 			p.abandonable.cancelAll()
 		}
-		failingFor := time.Duration(max(before.Silent.Millis, before.Unconnected.Millis)) * time.Millisecond
-		p.poison.WithdrawCrashes(p.now(), p.now().Add(-failingFor))
+		// Attempts that were under way at the last answer failed before those that count as evidence.
+		failingFor := time.Duration(max(before.Silent.Millis, before.Unconnected.Millis, before.LastAnswerMillis)) * time.Millisecond
+		p.poison.WithdrawCrashes(p.now(), p.now().Add(-failingFor-answerSkew))
 		klog.InfoS("isolated: no upstream answers this entry on new connections, but upstreams answer others",
 			"silent_upstreams", before.Silent.Upstreams, "silent_domains", before.Silent.Domains, "silent_ms", before.Silent.Millis,
 			"unconnected_upstreams", before.Unconnected.Upstreams, "unconnected_domains", before.Unconnected.Domains, "unconnected_ms", before.Unconnected.Millis,
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -194,8 +194,7 @@
 	for _, r := range t.records {
 		at, ok := r.ownCrashes[upstream]
 		if ok && sent.After(at) && now.Sub(at) < refuteWindow {
-			delete(r.ownCrashes, upstream)
-			t.reevaluate(now, r)
+			t.withdraw(now, r, upstream)
 		}
 	}
 }
@@ -206,24 +205,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.records {
-		withdrawn := false
 		for upstream, at := range r.ownCrashes {
 			if !at.Before(since) {
-				delete(r.ownCrashes, upstream)
-				delete(t.attributed, upstream)
-				withdrawn = true
+				t.withdraw(now, r, upstream)
 			}
 		}
-		if !withdrawn {
-			continue
-		}
-		if !r.heldSince.Before(since) && len(t.crashes(now, r)) < holdThreshold {
-			r.heldSince, r.heldUntil, r.holds = time.Time{}, time.Time{}, 0
-		}
-		t.reevaluate(now, r)
 	}
 }
 
+// withdraw withdraws a crash that this entry has recorded. A hold that followed from it ends if the
+// crashes that are left do not justify it. The caller holds t.mu.
+func (t *Tracker) withdraw(now time.Time, r *record, upstream uint32) {
+	at := r.ownCrashes[upstream]
+	delete(r.ownCrashes, upstream)
+	if t.attributed[upstream] == r.key {
+		delete(t.attributed, upstream)
+	}
+	if !r.heldSince.Before(at) && len(t.crashes(now, r)) < holdThreshold {
+		r.heldSince, r.heldUntil, r.holds = time.Time{}, time.Time{}, 0
+	}
+	t.reevaluate(now, r)
+}
+
 // Begin decides on a request before it is sent to an upstream. Unless the request is held, the
 // caller must call End when the request has finished.
 func (t *Tracker) Begin(now time.Time, keys Keys) Decision {
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -390,6 +390,22 @@
 	properties.TestingRun(t)
 }
 
+// TestRefutedCrashesEndHold has one of the upstreams whose connections broke respond right after a hold
+// began: the hold ends.
+func TestRefutedCrashesEndHold(t *testing.T) {
+	tr, k := NewTracker("n"), keysOf("/x", "c")
+	for u := range uint32(3) {
+		tr.RecordCrash(at(0), k, k, u)
+	}
+	if d := tr.Begin(at(0), k); !d.Held {
+		t.Fatal("not held after three crashes")
+	}
+	tr.RecordAlive(at(500*time.Millisecond), 1, at(400*time.Millisecond))
+	if d := tr.Begin(at(time.Second), k); d.Held {
+		t.Errorf("held although an upstream had not crashed: %+v", d)
+	}
+}
+
 // TestWithdrawnCrashes withdraws crashes that an entry saw because of its own links: the hold of the
 // request ends, also at a peer that was told of the crashes, and earlier crashes remain.
 func TestWithdrawnCrashes(t *testing.T) {
