reach: upstreams without health checks are probed too; an attempt that was not sent ends no wait

Cause: an entry whose links accept and stay silent finds out by health checks. All tests in virtual time had health checks at all services. Besides, an attempt that ended without having been sent dropped the wait for an answer that had begun with attempts that were given up.

Change: where a service has no health check, the probe is a request that names the entry itself as the expected target, without an id: targets refuse that without running it. Protocols without such a request probe as before. The wait for an answer ends with an answer, or if nothing that was sent is left unanswered.

--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -137,6 +137,9 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
 }
 
+// SetProbeHeaders implements Protocol. Upstreams run all requests, so there is no such request.
+func (Native) SetProbeHeaders(http.Header, string) bool { return false }
+
 // SetResponseHeaders implements Protocol.
 func (Native) SetResponseHeaders(h http.Header, info *RequestInfo) {
 	removeOwnHeaders(h)
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -26,14 +26,16 @@
 	probeDelay = 100 * time.Millisecond
 )
 
-// probeTarget is an upstream to probe, with the path of its health check.
+// probeTarget is an upstream to probe, with the path and the headers of the probe.
 type probeTarget struct {
 	upstream model.Upstream
 	path     string
+	header   http.Header
 }
 
 // probeUpstreams sends health checks to a few upstreams, which tell sooner than callers' requests
-// whether this entry reaches any. Callers' requests are not used, since one that is not idempotent
+// whether this entry reaches any. Where a service has none, requests that no upstream runs take their
+// place. Callers' requests are not used, since one that is not idempotent
 // would be lost.
 func (p *Proxy) probeUpstreams(ctx context.Context) {
 	for _, target := range p.probeTargets() {
@@ -50,7 +52,7 @@
 	}
 	var services []*model.Service
 	for _, svc := range snap.Services {
-		if svc.HealthPath != "" && len(svc.Upstreams) > 0 {
+		if path, _ := p.probeOf(svc); path != "" && len(svc.Upstreams) > 0 {
 			services = append(services, svc)
 		}
 	}
@@ -70,12 +72,23 @@
 			continue
 		}
 		domains[u.Domain] = true
-		out = append(out, probeTarget{u, svc.HealthPath})
+		path, header := p.probeOf(svc)
+		out = append(out, probeTarget{u, path, header})
 	}
 	return out
 }
 
-// probe sends a health check on a new connection and records whether there is an answer.
+// probeOf returns the path and the headers of a probe of a service's upstreams. The path is empty if
+// they can not be probed.
+func (p *Proxy) probeOf(svc *model.Service) (path string, header http.Header) {
+	header = http.Header{"User-Agent": {""}}
+	if svc.HealthPath == "" && p.opt.Protocol.SetProbeHeaders(header, p.opt.Self) {
+		return "/", header
+	}
+	return svc.HealthPath, header
+}
+
+// probe sends a probe on a new connection and records whether there is an answer.
 func (p *Proxy) probe(ctx context.Context, target probeTarget) {
 	ctx, cancel := context.WithTimeout(withNewConnection(ctx), probeTimeout)
 	defer cancel()
@@ -84,7 +97,7 @@
 	if err != nil {
 		return
 	}
-	req.Header.Set("User-Agent", "")
+	req.Header = target.header
 	var writes writeTracker
 	resp, err := p.transport.RoundTrip(req.WithContext(writes.withTrace(ctx)))
 	switch {
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -22,6 +22,9 @@
 	// parses it like a caller's. h is a copy of the caller's headers, and left the time until the
 	// request's deadline.
 	SetPeerHeaders(h http.Header, info *RequestInfo, left time.Duration)
+	// SetProbeHeaders sets the headers of a request that any upstream answers without running
+	// anything; self is the ID of this entry. It returns false if there is no such request.
+	SetProbeHeaders(h http.Header, self string) bool
 	// ParseResponse returns what an upstream's response says. It must not read the body.
 	ParseResponse(resp *http.Response, info *RequestInfo, svc *model.Service) ResponseInfo
 	// SetResponseHeaders prepares the headers of an upstream's response for the caller.
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -71,9 +71,11 @@
 	answering map[string]bool
 
 	// inFlight counts the attempts that wait for an answer. waitingSince is since when attempts have
-	// waited, or were given up, without an answer at any; zero if none has.
+	// waited, or were given up, without an answer at any; zero if none has. givenUp is set if any was
+	// given up since.
 	inFlight     int
 	waitingSince time.Time
+	givenUp      bool
 
 	answers, failures, isolations int64
 }
@@ -115,7 +117,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
-	if d.inFlight == 0 && !unanswered {
+	d.givenUp = d.givenUp || unanswered
+	if d.inFlight == 0 && !d.givenUp {
 		d.waitingSince = time.Time{}
 	}
 }
@@ -144,7 +147,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answers++
-	d.waitingSince = time.Time{}
+	d.waitingSince, d.givenUp = time.Time{}, false
 	if d.inFlight > 0 {
 		d.waitingSince = now
 	}
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -169,3 +169,23 @@
 		}
 	}
 }
+
+// TestUnsentAttemptsDoNotEndWait lets an attempt end without having been sent after another was given
+// up: the wait for an answer goes on. Without one that was given up it ends.
+func TestUnsentAttemptsDoNotEndWait(t *testing.T) {
+	for _, givenUp := range []bool{true, false} {
+		d := NewDetector()
+		now := time.Unix(1000, 0)
+		for _, unanswered := range []bool{givenUp, false, false} {
+			d.BeginAttempt(now)
+			d.EndAttempt(unanswered)
+		}
+		if got := d.Unanswered(now.Add(maxQuiet)); got != givenUp {
+			t.Errorf("given up %v: unanswered %v", givenUp, got)
+		}
+		d.RecordAnswer(now.Add(maxQuiet), Attempt{Upstream{"u0", "d0"}, now, true})
+		if d.Unanswered(now.Add(9 * maxQuiet)) {
+			t.Error("unanswered after an answer")
+		}
+	}
+}
