inflight: hubs report demand to idle entries less often; tests of hubs that end, restarts, quick turns

Change: idle entries get the demand each 1.2 s and without organisations. Tests for a hub that ends, an entry that starts anew while shares are far from even, demand that turns each second.

--- a/internal/balance/shares_test.go
+++ b/internal/balance/shares_test.go
@@ -459,3 +459,54 @@
 		}
 	}
 }
+
+// TestRestartedEntryJoinsTheOthers starts one entry anew while shares are far from even. It must come
+// back to the shares of the others in bounded steps.
+func TestRestartedEntryJoinsTheOthers(t *testing.T) {
+	f := newShareFleet(12)
+	rates := map[string]float64{"small": 0, "middle": 540, "large": 270}
+	now := t0
+	run := func(seconds int) {
+		for range 4 * seconds {
+			now = now.Add(250 * time.Millisecond)
+			f.step(now, rates)
+		}
+	}
+	run(60)
+	if _, apart := f.shares("middle", now); apart > 0.03 {
+		t.Fatalf("entries are %.3f apart", apart)
+	}
+	f.entries[1].plan = sharePlan{}
+	for range 10 {
+		before := f.entries[1].ShareDecision(now).Shares
+		run(2)
+		if d := shareDistance(before, f.entries[1].ShareDecision(now).Shares); d > maxShareChange+0.001 {
+			t.Errorf("%.3f of the requests have changed region within 2 s", d)
+		}
+	}
+	run(10)
+	if _, apart := f.shares("middle", now); apart > 0.03 {
+		t.Errorf("entries are %.3f apart half a minute after the restart of one", apart)
+	}
+}
+
+// TestDemandThatTurnsQuickly turns the demand round each second, within the age of a report. The shares
+// must stay near those for the mean demand.
+func TestDemandThatTurnsQuickly(t *testing.T) {
+	f := newShareFleet(12)
+	now := t0
+	for i := range 4 * 60 {
+		now = now.Add(250 * time.Millisecond)
+		rates := map[string]float64{"small": 100, "middle": 450, "large": 250}
+		if i/4%2 == 0 {
+			rates = map[string]float64{"small": 100, "middle": 250, "large": 450}
+		}
+		f.step(now, rates)
+		for _, region := range f.regions {
+			even := f.entries[0].evenShares(now)[region]
+			if mean, _ := f.shares(region, now); shareDistance(mean, even) > 2*maxShareChange {
+				t.Fatalf("after %d s: shares of %s are %v, even ones %v", i/4, region, mean, even)
+			}
+		}
+	}
+}
--- a/internal/inflight/demand.go
+++ b/internal/inflight/demand.go
@@ -18,6 +18,8 @@
 const (
 	// demandPeriod is the time between reports of the demand.
 	demandPeriod = 400 * time.Millisecond
+	// idleDemandRounds is the number of rounds of reports of which a hub sends one to idle entries.
+	idleDemandRounds = 3
 	// maxDemandServices bounds the services that are reported at one time; more are reported in turn.
 	maxDemandServices = 4
 	// maxDemandRows bounds the rows of one report, so that it fits a datagram; a row takes up to 12
@@ -60,6 +62,7 @@
 		return nil
 	}
 	x.demandSentAt = now
+	x.demandRounds++
 	services := x.opt.Demand.Services(now)
 	if len(services) <= maxDemandServices {
 		return services
@@ -72,11 +75,14 @@
 
 // sendDemand reports the demand for a service at the selected entries to peers.
 func (x *Exchange) sendDemand(peers []Peer, scope Scope, service string, own bool, from func(reporter string) bool, now time.Time) {
-	if len(peers) == 0 {
-		return
+	if len(peers) > 0 {
+		x.writeDemand(peers, scope, &ServiceDemand{service, x.opt.Demand.Sum(service, own, from, now)}, maxDemandRows)
 	}
-	d := &ServiceDemand{Service: service, Summary: x.opt.Demand.Sum(service, own, from, now)}
-	d.Rows = demand.Fit(d.Rows, maxDemandRows)
+}
+
+// writeDemand sends a report of demand with about a number of rows to peers.
+func (x *Exchange) writeDemand(peers []Peer, scope Scope, d *ServiceDemand, rows int) {
+	d.Rows = demand.Fit(d.Rows, rows)
 	r := Report{
 		Entry: x.opt.Entry, Incarnation: x.opt.Incarnation, Sequence: x.seq,
 		Scope: ScopeNone, Last: allUpstreams, DemandScope: scope, Demand: d,
@@ -91,10 +97,11 @@
 	}
 }
 
-// sendDemandByHubs reports the demand in a fleet with hubs. reporters are the entries that report to
-// this one, remote the hubs of the other failure domains. An entry that has a hub itself passes no sum
-// of all entries on: that would circulate between hubs.
-func (x *Exchange) sendDemandByHubs(hub Peer, reporters, remote []Peer, now time.Time) {
+// sendDemandByHubs reports the demand in a fleet with hubs. busy and idle are the entries that report to
+// this one, remote the hubs of the other failure domains. Idle entries get the demand less often, and
+// without organisations. An entry that has a hub itself passes no sum of all entries on: that would
+// circulate between hubs.
+func (x *Exchange) sendDemandByHubs(hub Peer, busy, idle, remote []Peer, now time.Time) {
 	isHub := hub.ID == x.opt.Entry
 	all := func(string) bool { return true }
 	for _, service := range x.dueDemand(now) {
@@ -103,7 +110,11 @@
 			continue
 		}
 		x.sendDemand(remote, ScopeDomain, service, true, isEntry, now)
-		x.sendDemand(reporters, ScopeOthers, service, true, all, now)
+		total := x.opt.Demand.Sum(service, true, all, now)
+		x.writeDemand(busy, ScopeOthers, &ServiceDemand{service, total}, maxDemandRows)
+		if x.demandRounds%idleDemandRounds == 0 {
+			x.writeDemand(idle, ScopeOthers, &ServiceDemand{service, total}, 1)
+		}
 	}
 }
 
--- a/internal/inflight/demand_test.go
+++ b/internal/inflight/demand_test.go
@@ -21,23 +21,7 @@
 	for _, perDomain := range []int{4, 15} {
 		t.Run(fmt.Sprint(2*perDomain), func(t *testing.T) {
 			all, _ := startExchanges(t, perDomain)
-			deadline := time.Now().Add(10 * time.Second)
-			for {
-				known := 0
-				for _, e := range all {
-					e.demand.Record("templates", 0, 7, time.Now())
-					if e.demand.Entries("templates", time.Now()) == len(all) {
-						known++
-					}
-				}
-				if known == len(all) {
-					break
-				}
-				if time.Now().After(deadline) {
-					t.Fatalf("%d of %d entries know the demand at all", known, len(all))
-				}
-				time.Sleep(pollEvery)
-			}
+			waitForEntries(t, all, len(all))
 		})
 	}
 }
@@ -130,3 +114,63 @@
 	}
 	return out
 }
+
+// TestDemandBytes states what the reports of one service cost, in bytes per second: an entry's own
+// report, and what a hub sends to the other hubs and to the entries of its domain. The sizes of reports
+// do not depend on the number of entries.
+func TestDemandBytes(t *testing.T) {
+	const perSecond = float64(time.Second) / float64(demandPeriod)
+	size := func(rows []demand.Row) float64 {
+		r := Report{
+			Entry: "edge-thessaly-a-12", Incarnation: 1 << 60, Sequence: 1 << 20, Scope: ScopeNone, Last: allUpstreams,
+			Demand: &ServiceDemand{"templates", demand.Summary{Entries: 985, Work: demand.Work{Busy: 500, Rate: 2000}, Rows: demand.Fit(rows, maxDemandRows)}},
+		}
+		return float64(len(r.Append(nil)))
+	}
+	for _, tt := range []struct {
+		entries, domains, regions, busy int
+		hubBound                        float64
+	}{{73, 6, 3, 73, 21_000}, {300, 6, 3, 90, 30_000}, {985, 12, 6, 90, 35_000}} {
+		own := size(demandRows(1, 1, 17, 14)) * perSecond
+		total := size(demandRows(tt.regions, 1, 17, 400)) * perSecond
+		busy := float64(tt.busy)/float64(tt.domains) - 1
+		idle := float64(tt.entries-tt.busy) / float64(tt.domains)
+		toIdle := size(demand.Fit(demandRows(tt.regions, 1, 17, 400), 1)) * perSecond / idleDemandRounds
+		hub := own*float64(tt.domains-1) + total*busy + toIdle*idle
+		t.Logf("%d entries: a busy entry sends %.0f and receives %.0f bytes a second, a hub sends %.0f", tt.entries, own, total, hub)
+		if own > 900 || hub > tt.hubBound {
+			t.Errorf("%d entries: an entry sends %.0f bytes a second, a hub %.0f", tt.entries, own, hub)
+		}
+	}
+}
+
+// TestDemandSurvivesItsHub ends the hub of a failure domain. The others must soon know the demand at all
+// that are left, and no longer that of the hub.
+func TestDemandSurvivesItsHub(t *testing.T) {
+	all, _ := startExchanges(t, 15)
+	waitForEntries(t, all, len(all))
+	all[0].stop()
+	waitForEntries(t, all[1:], len(all)-1)
+}
+
+// waitForEntries waits until all entries know the demand at a number of entries.
+func waitForEntries(t *testing.T, all []*entry, want int) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		known := 0
+		for _, e := range all {
+			e.demand.Record("templates", 0, 7, time.Now())
+			if e.demand.Entries("templates", time.Now()) == want {
+				known++
+			}
+		}
+		if known == len(all) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d entries know the demand at %d", known, len(all), want)
+		}
+		time.Sleep(pollEvery)
+	}
+}
--- a/internal/inflight/exchange.go
+++ b/internal/inflight/exchange.go
@@ -110,9 +110,10 @@
 	isHub atomic.Bool
 	// weight is the own entry's weight in the limits; see weights.
 	weight int
-	// demandSentAt is the time of the last reports of demand, firstDemand the index of the service
-	// with which the next ones begin.
+	// demandSentAt is the time of the last reports of demand, demandRounds their number, and
+	// firstDemand the index of the service with which the next ones begin.
 	demandSentAt time.Time
+	demandRounds int
 	firstDemand  int
 	// limitPeers are the peers to which limits of upstreams are sent, changesSentAt is the
 	// time at which changed limits were last sent to them without delay.
@@ -300,7 +301,7 @@
 	}
 	x.sendPeriodicLimitUpdates(fleet, limitPeersByHubs(x.opt.Entry, hub, busy, idle, remote))
 	x.sendRolloutsByHubs(hub, slices.Concat(busy, idle), remote)
-	x.sendDemandByHubs(hub, slices.Concat(busy, idle), remote, now)
+	x.sendDemandByHubs(hub, busy, idle, remote, now)
 	if !isHub && len(busy)+len(idle) == 0 {
 		x.sendClaims([]Peer{hub}, false)
 	}
