--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -228,7 +228,8 @@
 	elapsed := now.Sub(p.at)
 	first := p.at.IsZero()
 	p.at = now
-	if first || elapsed <= 0 {
+	idle := len(d.ByRegion) == 0 && len(p.offsets) == 0
+	if first || idle || elapsed <= 0 {
 		return ShareDecision{}, false
 	}
 	elapsed = min(elapsed, time.Second)
