balance, inflight: the larger part of a divided fleet goes on; sums of a domain by hub

Change: shares stay only where less than 0.6 of the entries known before report (0.9 before); the number known before is forgotten in 30 s (8 s), as half of a fleet would otherwise not keep its shares for 4 s. Sums of a domain are kept by the hub that reports them.

--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -23,10 +23,10 @@
 	// noise in the demand moves no objects.
 	shareSlack = 0.02
 	// minEntryShare is the share of the entries known before that must still report for shares to
-	// change; entryMemory is the time constant with which the number known before is forgotten. When
-	// part of the entries is cut off, the demand seems lower than it is.
-	minEntryShare = 0.9
-	entryMemory   = 8 * time.Second
+	// change; entryMemory is the time constant with which the number known before is forgotten. Of a
+	// divided fleet the larger part goes on, as its callers do; the smaller one knows too little.
+	minEntryShare = 0.6
+	entryMemory   = 30 * time.Second
 	// maxHold is the longest time for which shares stay as they are for that reason.
 	maxHold = 5 * time.Second
 	// capacityMemory is the time constant of the means of capacities.
@@ -228,8 +228,7 @@
 	elapsed := now.Sub(p.at)
 	first := p.at.IsZero()
 	p.at = now
-	idle := len(d.ByRegion) == 0 && len(p.offsets) == 0
-	if first || idle || elapsed <= 0 {
+	if first || elapsed <= 0 {
 		return ShareDecision{}, false
 	}
 	elapsed = min(elapsed, time.Second)
--- a/internal/inflight/demand.go
+++ b/internal/inflight/demand.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// handleDemand applies a peer's report of demand. The sum of a failure domain is kept under the name
-// of the domain, as any of its entries may become the hub.
+// handleDemand applies a peer's report of demand. The sums of a failure domain are kept by the hub that
+// reports them: while its entries disagree on their hub, each of the hubs reports a part of them.
 func (x *Exchange) handleDemand(r *Report, from Peer, now time.Time) {
 	if x.opt.Demand == nil {
 		return
@@ -127,7 +127,7 @@
 	reporter := from.ID
 	switch r.DemandScope {
 	case ScopeDomain:
-		reporter = allOthers + from.Domain
+		reporter = allOthers + from.ID
 	case ScopeOthers:
 		reporter = demand.Total
 	}
