balance: the property of steps runs as many steps as the distance needs

Cause: TestStepSharesProperties failed: it ran 3/most steps, but offsets of its generator are up to 4 apart, so the last steps were missing. The code was right.

Change: as many steps as distance/most, plus one. The test is as strict: it ends at the same slack.

--- a/internal/balance/shares_test.go
+++ b/internal/balance/shares_test.go
@@ -86,7 +86,7 @@
 	vectors := gen.SliceOfN(2, gen.Float64Range(-1, 1))
 	properties.Property("a step is bounded, keeps the sum and converges", prop.ForAll(func(from, to []float64, most float64) bool {
 		current, wanted := offsets(from), offsets(to)
-		for range 1 + int(3/most) {
+		for range 1 + int(shareDistance(current, wanted)/most) {
 			next := stepShares(current, wanted, shareSlack, most)
 			sum := 0.0
 			for _, d := range next {
