balance: tests of shares for any demand and of homes

Cause: odd demand (no number, infinite, negative), and homes that allow no other region, had no test.

Change: a property over arbitrary demand, work and numbers of entries; requests bound to their region while others move.

--- a/internal/balance/shares_test.go
+++ b/internal/balance/shares_test.go
@@ -510,3 +510,57 @@
 		}
 	}
 }
+
+// TestPlanIsBoundedForAnyDemand gives a Balancer arbitrary demand, work and numbers of entries. In no 2 s
+// may more than the planned part of the requests move, and the shares must sum to 1.
+func TestPlanIsBoundedForAnyDemand(t *testing.T) {
+	odd := []float64{0, math.NaN(), math.Inf(1), -5, 1e12}
+	properties := gopter.NewProperties(nil)
+	properties.Property("moves are bounded", prop.ForAll(func(rates []float64, oddAt int) bool {
+		lb := shareEntry(t)
+		var history []map[string]float64
+		now := t0
+		for i, rate := range rates {
+			now = now.Add(250 * time.Millisecond)
+			for _, u := range lb.upstreams {
+				u.reportedAt = now
+			}
+			d := ServiceDemand{ByRegion: map[string]float64{"muscat": rate, "sohar": 1000 - rate}, Work: 0.2, Entries: 4}
+			if i%7 == oddAt {
+				d = ServiceDemand{ByRegion: map[string]float64{"muscat": odd[i%5]}, Work: odd[(i+1)%5], Entries: i % 5}
+			}
+			lb.PlanShares(now, d)
+			shares, sum := lb.ShareDecision(now).Shares, 0.0
+			for _, s := range shares {
+				sum += s
+			}
+			history = append(history, shares)
+			if math.Abs(sum-1) > 1e-9 || i >= 8 && shareDistance(history[i-8], shares) > maxShareChange+1e-9 {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(40, gen.Float64Range(0, 1000)), gen.IntRange(0, 6)))
+	properties.TestingRun(t)
+}
+
+// TestHomesBindMovedShares moves requests to the other region. Those that may be served only in the own
+// one must stay there.
+func TestHomesBindMovedShares(t *testing.T) {
+	lb := shareEntry(t)
+	now := plan(lb, t0, 30, ServiceDemand{ByRegion: map[string]float64{"muscat": 600, "sohar": 100}, Work: 0.2, Entries: 4})
+	if far(lb, now) < 0.3 {
+		t.Fatalf("%.3f of the requests go to sohar", far(lb, now))
+	}
+	for o := range 300 {
+		c, err := lb.PickObject(now, ObjectRequest{
+			Object: HashObject("r", fmt.Sprint(o)), Class: "r", Regions: func(region string) bool { return region == "muscat" },
+		})
+		if err != nil {
+			break // full
+		}
+		if c.Region != "muscat" {
+			t.Errorf("object %d goes to %s", o, c.Region)
+		}
+	}
+}
