balance: test of shares while half of a region's upstreams leave and join

Cause: the fleets in virtual time had waves and callers that move, no upstreams that leave. Change: a test at 12 and 73 entries of the bound on moves, agreement and the fullest region.

--- a/internal/balance/shares_test.go
+++ b/internal/balance/shares_test.go
@@ -323,6 +323,8 @@
 // shareFleet is a fleet of entries in virtual time that know the demand of all regions as of one
 // report ago, each with its own noise and its own moment of decision.
 type shareFleet struct {
+	service *model.Service
+	members []model.Member
 	entries []*Balancer
 	regions []string
 	// pending holds the demand that the next round of decisions sees.
@@ -349,6 +351,7 @@
 		lb.hasObjects = true
 		f.entries = append(f.entries, lb)
 	}
+	f.service, f.members = s, members
 	return f
 }
 
@@ -402,10 +405,9 @@
 	return l.fullestUse()
 }
 
-// TestSharesOfFleet runs fleets under waves of demand, under a move of all callers of a region, and
-// while half of the upstreams of a region leave and come back. In no 2 s may more than the planned part
-// of a region's requests change their region, entries must agree, and the fullest region must be less
-// full than with even shares.
+// TestSharesOfFleet runs fleets under waves of demand and under a move of all callers of a region. In no
+// 2 s may more than the planned part of a region's requests change their region, entries must agree, and
+// the fullest region must be less full than with even shares.
 func TestSharesOfFleet(t *testing.T) {
 	const perRegion = 270.0
 	wave := func(at float64) map[string]float64 {
@@ -564,3 +566,60 @@
 		}
 	}
 }
+
+// setUpstreams puts all upstreams but those that left reports into service.
+func (f *shareFleet) setUpstreams(now time.Time, left func(u *model.Upstream) bool) {
+	s := *f.service
+	s.Upstreams = nil
+	for _, u := range f.service.Upstreams {
+		if !left(&u) {
+			s.Upstreams = append(s.Upstreams, u)
+		}
+	}
+	for i, lb := range f.entries {
+		m := f.members[i]
+		lb.Update(ServiceState{Service: &s, Draining: notDraining, Self: m.ID, Region: m.Region, Domain: m.Domain, Entries: f.members}, now)
+	}
+}
+
+// TestSharesWhileUpstreamsLeaveAndJoin takes half of the upstreams of the middle region away, whose
+// callers are the most, and brings them back. The even shares follow at once; what is planned beyond them
+// must change in bounded steps, entries must agree, and the fullest region must be less full than with
+// even shares.
+func TestSharesWhileUpstreamsLeaveAndJoin(t *testing.T) {
+	for _, entries := range []int{12, 73} {
+		f := newShareFleet(entries)
+		rates := map[string]float64{"small": 60, "middle": 380, "large": 160}
+		var history []map[string]float64
+		var with, without float64
+		for i := range 4 * 120 {
+			now := t0.Add(time.Duration(i) * 250 * time.Millisecond)
+			switch i {
+			case 4 * 40:
+				n := 0
+				f.setUpstreams(now, func(u *model.Upstream) bool { n++; return u.Region == "middle" && n%2 == 0 })
+			case 4 * 80:
+				f.setUpstreams(now, func(*model.Upstream) bool { return false })
+			}
+			f.step(now, rates)
+			if _, apart := f.shares("middle", now); apart > 0.06 {
+				t.Errorf("after %d s entries are %.3f apart", i/4, apart)
+			}
+			offsets := f.entries[1].plan.offsets
+			history = append(history, offsets)
+			if i >= 8 && shareDistance(history[i-8], offsets) > maxShareChange+1e-9 {
+				t.Errorf("after %d s %.3f of the requests are planned elsewhere than 2 s before", i/4, shareDistance(history[i-8], offsets))
+			}
+			if i >= 4*40 {
+				even := RegionLoad{Shares: f.entries[0].evenShares(now), Demand: f.entries[0].plan.demand, Capacity: f.entries[0].plan.capacity}
+				with += f.fullest(now, rates)
+				without += even.fullestUse()
+			}
+		}
+		rounds := 4.0 * 80
+		t.Logf("%d entries: use of the fullest region %.2f, %.2f with even shares", entries, with/rounds, without/rounds)
+		if with > without {
+			t.Errorf("%d entries: use of the fullest region %.2f, %.2f with even shares", entries, with/rounds, without/rounds)
+		}
+	}
+}
