forward, balance: a second send for idempotent requests whose first upstream takes unusually long

Change: a class keeps the work times of its last 64 runs with a free slot, at upstreams known to be warm and at others. A request that may run twice and has no body is sent to the next replica at the time at which that gains most: the chance that the first run ends late times the chance that the second is in time, at least 0.15. The first complete answer wins; the other attempt is cancelled and its upstream not blamed. Bounds: the attempts of the route, two thirds of the retry budget, 0.65 of the service's slots in use. Only where the upstream tells its load. Counters, a field of the log lines of requests, the state dump.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -247,6 +247,7 @@
 	metrics.Publish("limits", func() any { return n.OrganisationLimits() })
 	metrics.Publish("upstream_announcements", func() any { return n.Entry.Proxy.AnnouncementCounts() })
 	metrics.Publish("region_shares", func() any { return n.Entry.Proxy.RegionShares() })
+	metrics.Publish("second_sends", func() any { return n.Entry.Proxy.HedgeCounts() })
 	metrics.Publish("upstream_limits", func() any { return n.UpstreamLimits() })
 	metrics.Publish("node", func() any { return n.Status() })
 	r := chi.NewRouter()
--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -77,23 +77,29 @@
 	if best == nil {
 		return Choice{}, b.noSlotError(now, req, ranked)
 	}
-	c := Choice{Upstream: best.Upstream, SendAt: now.Add(wait), Rank: rank, class: req.Class, object: req.Object, state: best}
-	c.Warm = best.isWarm(req.Object, now)
-	c.Outstanding = b.outstanding(best, now)
-	c.ExpectedLatency = b.expectedLatency(best, now, req, rank)
-	c.immediate = c.Outstanding+1 <= float64(best.Slots)
-	if b.cold(best, now) {
-		best.coldTokens--
+	return b.take(now, req, best, rank, wait), nil
+}
+
+// take takes a slot of an upstream for a request that may be sent after a wait for the upstream's limit.
+func (b *Balancer) take(now time.Time, req ObjectRequest, u *upstreamState, rank int, wait time.Duration) Choice {
+	c := Choice{Upstream: u.Upstream, SendAt: now.Add(wait), Rank: rank, class: req.Class, object: req.Object, state: u}
+	c.Warm = u.isWarm(req.Object, now)
+	c.Outstanding = b.outstanding(u, now)
+	c.ExpectedLatency = b.expectedLatency(u, now, req, rank)
+	c.wait = b.expectedWait(u, now, req)
+	c.immediate = c.Outstanding+1 <= float64(u.Slots)
+	if b.cold(u, now) {
+		u.coldTokens--
 	}
-	if best.inFlight == 0 {
-		best.lastAnswer = c.SendAt
+	if u.inFlight == 0 {
+		u.lastAnswer = c.SendAt
 	}
-	best.inFlight++
-	best.sent++
-	b.countSend(best, now)
-	b.spendLimit(best, now)
-	b.inFlight[best.Region]++
-	return c, nil
+	u.inFlight++
+	u.sent++
+	b.countSend(u, now)
+	b.spendLimit(u, now)
+	b.inFlight[u.Region]++
+	return c
 }
 
 // replicasFor returns the candidates for an object, at most as many as replicas: in the object's
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -21,6 +21,8 @@
 	// Abandoned means that the caller disconnected or its deadline passed, without an observed
 	// failure of the upstream.
 	Abandoned
+	// Outrun means that the request was cancelled because another upstream answered it first.
+	Outrun
 )
 
 // DoneInfo is what one request has shown about its upstream.
@@ -59,6 +61,9 @@
 		u.recordOutcome(now, r.ServerError || r.Result == Unreachable)
 	}
 	b.recordServiceTime(u, now, c, r)
+	if r.Result == Outrun {
+		b.recordCancelled(c, now.Sub(c.SendAt)-b.roundTrip[c.Region])
+	}
 	if r.Result == OK {
 		u.recordServed(c.SendAt)
 	}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -38,6 +38,8 @@
 	// class and object are those of the ObjectRequest; empty after Pick.
 	class  string
 	object uint64
+	// wait is the expected wait for a slot at the time of the pick.
+	wait time.Duration
 	// immediate is set if the request was expected to get a slot without waiting.
 	immediate bool
 	// state is the upstream's state when it was picked. If the upstream has restarted since, this
--- a/internal/balance/retry_budget.go
+++ b/internal/balance/retry_budget.go
@@ -2,6 +2,10 @@
 
 import "sync"
 
+// reservedShare is the share of a full budget that second sends leave: a retry after a failure saves a
+// request, a second send only time.
+const reservedShare = 1.0 / 3
+
 // RetryBudget limits retries to a share of recent requests, so that a failing region does not
 // double its own load. It is safe for concurrent use.
 type RetryBudget struct {
@@ -36,6 +40,14 @@
 	return b.tokens >= 1
 }
 
+// HasSpareRetry reports whether reservedShare of the largest number of retries is left for failed
+// requests after one more.
+func (b *RetryBudget) HasSpareRetry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens-1 >= reservedShare*b.burst
+}
+
 // TryWithdraw reports whether one more retry may be made, and counts it if so.
 func (b *RetryBudget) TryWithdraw() bool {
 	b.mu.Lock()
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -20,6 +20,11 @@
 func (b *Balancer) Room(now time.Time) Room {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.room(now)
+}
+
+// room returns the result of Room. b.mu must be held.
+func (b *Balancer) room(now time.Time) Room {
 	r := Room{Work: b.meanServiceTime}
 	for _, u := range b.upstreams {
 		if b.isDraining(u, now) {
--- a/internal/balance/service_time.go
+++ b/internal/balance/service_time.go
@@ -24,6 +24,9 @@
 	// unknown holds the mean service time at other upstreams, by their rank among the object's
 	// replicas.
 	unknown [replicas]time.Duration
+	// warmWork holds the last work times that warm is the mean of, unknownWorkTimes those at other
+	// upstreams.
+	warmWork, unknownWorkTimes workTimes
 	// meanBytes is the mean size of a request and its answer together.
 	meanBytes float64
 }
@@ -115,6 +118,7 @@
 		u.recordRelativeTime(float64(took) / float64(*mean))
 	}
 	updateMean(mean, took)
+	b.recordWorkTime(c, took)
 	updateMean(&b.meanServiceTime, took)
 	b.measuredWork += took
 	b.measuredRequests++
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -46,8 +46,13 @@
 	// hangs runs the request and does not respond until the client closes the connection.
 	hangs
 	behaviourCount
+	// respondsLate responds after lateAfter. It is not among the random behaviours.
+	respondsLate
 )
 
+// lateAfter is how long respondsLate takes.
+const lateAfter = 22 * time.Millisecond
+
 // receivedRequest is a request that a fake upstream has read completely.
 type receivedRequest struct {
 	id, path, body string
@@ -170,6 +175,8 @@
 	switch b {
 	case closesAfterRead:
 		return false
+	case respondsLate:
+		time.Sleep(lateAfter)
 	case sheds:
 		fmt.Fprintf(c, "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n")
 		return true
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -107,6 +107,9 @@
 	Detail string
 	// Duration is the time from the arrival of the request to its end.
 	Duration time.Duration
+	// SecondSend is "won" if the request was sent to a second upstream while the first had not answered
+	// and the second answered first, "lost" if it did not, and empty without a second send.
+	SecondSend string
 	// Attempts is the number of attempts. Sheds that were retried within the shed limit do not
 	// count.
 	Attempts int
@@ -152,6 +155,7 @@
 	// shedBudget limits how often a shed request is retried without waiting in the queue.
 	shedBudget *balance.RetryBudget
 	shift      *shift.Splitter
+	hedges     hedgeCounters
 }
 
 // New returns a Proxy that rejects all requests until the first Update.
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -55,9 +55,9 @@
 			}
 			break
 		}
-		out.Choice = choice
 		p.recordAdmitted(cl)
-		res, err := p.send(ctx, r, cl, choice)
+		choice, res, err := p.sendHedged(ctx, r, cl, state, choice, out)
+		out.Choice = choice
 		p.recordAlive(choice, res)
 		p.recordForRollout(cl, choice, res, err)
 		if err != nil && err.Reason == ReasonShed && !cl.service.Routed && sheds < maxSheds {
@@ -162,15 +162,24 @@
 	return result
 }
 
+// okReport returns the balancer's report about an attempt with a complete response.
+func okReport(cl *call, res *upstreamResponse) balance.DoneInfo {
+	return balance.DoneInfo{
+		Result:      balance.OK,
+		Observation: res.observed,
+		ServerError: res.resp.StatusCode >= http.StatusInternalServerError,
+		Bytes:       max(0, cl.body.length) + max(int64(len(res.body)), res.resp.ContentLength),
+		ConnectTime: res.connectTime,
+	}
+}
+
 // deliver sends the response to the caller. The upstream's slot is freed before that for a
 // buffered response, and after the last byte for a streamed one. If the body breaks off,
 // deliver aborts the caller's connection, so that the caller does not take the part for the
 // whole body.
 func (p *Proxy) deliver(w http.ResponseWriter, state *serviceState, cl *call, choice balance.Choice, res *upstreamResponse, out *Outcome) {
 	defer res.release()
-	report := balance.DoneInfo{Result: balance.OK, Observation: res.observed, ConnectTime: res.connectTime}
-	report.ServerError = res.resp.StatusCode >= http.StatusInternalServerError
-	report.Bytes = max(0, cl.body.length) + max(int64(len(res.body)), res.resp.ContentLength)
+	report := okReport(cl, res)
 	if res.buffered {
 		p.release(state, choice, report)
 	}
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -131,6 +131,8 @@
 	Upstreams []balance.Status   `json:"upstreams"`
 	// Regions are the shares of regions and what they were decided from.
 	Regions balance.ShareDecision `json:"regions"`
+	// SecondSends counts the requests that were sent to a second upstream, or were not for a reason.
+	SecondSends HedgeCounts `json:"second_sends"`
 }
 
 // Dump returns the state of each service by name.
@@ -140,7 +142,7 @@
 	defer p.mu.RUnlock()
 	out := make(map[string]ServiceStatus, len(p.services))
 	for name, state := range p.services {
-		out[name] = ServiceStatus{state.queue.Len(), state.shift.Shares(), state.balancer.Dump(now), state.balancer.ShareDecision(now)}
+		out[name] = ServiceStatus{state.queue.Len(), state.shift.Shares(), state.balancer.Dump(now), state.balancer.ShareDecision(now), state.hedges.counts()}
 	}
 	return out
 }
