reach, forward: held requests keep their Retry-After unless failures lie in several failure domains

Cause: the limit on the Retry-After of held requests applied to any failure without an answer since, so that three crashes in one failure domain were told a second too (TestRejectedAfterThreeCrashes failed, rightly).

Change: it applies while failures without an answer lie in two failure domains or more, or during isolation.

Measured: TestRejectedAfterThreeCrashes passes unchanged, and TestResetLinksHoldNoRequests in all eight plays.

--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -22,8 +22,8 @@
 	// prefixWait is how long recordBroken waits for the beginning of the request body. The
 	// caller waits for its response meanwhile.
 	prefixWait = 100 * time.Millisecond
-	// suspectedRetryAfter is the longest Retry-After time of a held request while it is not clear
-	// whether upstreams crashed or this entry's own links failed.
+	// suspectedRetryAfter is the longest Retry-After time of a held request while this entry's own
+	// links may have failed instead of upstreams.
 	suspectedRetryAfter = time.Second
 )
 
@@ -49,7 +49,7 @@
 	}
 	d := p.poison.Begin(p.now(), keys)
 	if d.Held {
-		if p.failuresSuspect() {
+		if p.reach.LinksSuspected(p.now()) {
 			d.RetryAfter = min(d.RetryAfter, suspectedRetryAfter)
 		}
 		return verdict.New(verdict.NotRun, reasonPoison, nil).WithRetryAfter(d.RetryAfter)
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -254,6 +254,17 @@
 	return false
 }
 
+// LinksSuspected reports whether failures are suspected that lie in several failure domains, so that the
+// entry's own links are more likely to have failed than several upstreams.
+func (d *Detector) LinksSuspected(now time.Time) bool {
+	if !d.Suspected(now) {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.since.IsZero() || max(d.silent.count(time.Time{}).Domains, d.unconnected.count(time.Time{}).Domains) >= minDomains
+}
+
 // LoadSuspect reports whether this entry's requests at upstreams may not be there: attempts have
 // failed without an answer for loadSuspectAfter.
 func (d *Detector) LoadSuspect(now time.Time) bool {
