demand, balance: the hub of most entries counts for a domain; shares go even where too little is heard

Cause: with the sums of all hubs of a domain added up, entries counted up to 101 of 73 entries for some seconds after a change of hubs, and the demand of a region twice. Entries that heard of a part only took the regions that they did not hear of as idle after 5 s, and sent them more.

Change: of two sums of a domain the one with more entries counts, until it has been silent for a second. Entries that hear less than 0.6 of what they heard before keep their shares for 5 s as before, then go back to even ones in small steps.

--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -27,7 +27,8 @@
 	// divided fleet the larger part goes on, as its callers do; the smaller one knows too little.
 	minEntryShare = 0.6
 	entryMemory   = 30 * time.Second
-	// maxHold is the longest time for which shares stay as they are for that reason.
+	// maxHold is the longest time for which shares stay as they are for that reason. Then they go back
+	// to even ones.
 	maxHold = 5 * time.Second
 	// capacityMemory is the time constant of the means of capacities.
 	capacityMemory = 2 * time.Second
@@ -235,10 +236,11 @@
 	p.measureDemand(d)
 	b.measureCapacity(now, elapsed)
 	rate := 1.0
+	informed := p.informed(d.Entries, elapsed)
 	switch {
-	case p.hold(d.Entries, elapsed):
+	case !informed && p.held <= maxHold:
 		return ShareDecision{}, false
-	case !b.followsDemand(now) || len(d.ByRegion) == 0 || p.work <= 0:
+	case !informed || !b.followsDemand(now) || len(d.ByRegion) == 0 || p.work <= 0:
 		p.wanted, rate = nil, returnRate
 	default:
 		l := b.regionLoad(now)
@@ -294,16 +296,16 @@
 	}
 }
 
-// hold reports whether shares must stay as they are, for a while, because entries that were known
-// before no longer report.
-func (p *sharePlan) hold(entries int, elapsed time.Duration) bool {
+// informed reports whether most of the entries that were known before still report, and counts the time
+// for which they do not.
+func (p *sharePlan) informed(entries int, elapsed time.Duration) bool {
 	p.entries = math.Max(float64(entries), p.entries*math.Exp(-float64(elapsed)/float64(entryMemory)))
 	if float64(entries) >= minEntryShare*p.entries {
 		p.held = 0
-		return false
+		return true
 	}
 	p.held += elapsed
-	return p.held <= maxHold
+	return false
 }
 
 // measureDemand converts the rates of requests to slots.
--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -17,6 +17,9 @@
 	// reportTTL is the time for which the last report of a reporter is used. Reports come about every
 	// 0.4 s, or every 1.2 s for each of many services.
 	reportTTL = 1500 * time.Millisecond
+	// preferenceTTL is the time for which a report is kept although another entry sends one that counts
+	// fewer entries.
+	preferenceTTL = time.Second
 	// maxOrganisations is the largest number of organisations of a service with rows of their own,
 	// at an entry and in the sum of many entries.
 	maxOrganisations = 16
@@ -69,10 +72,11 @@
 	services map[string]serviceReport
 }
 
-// serviceReport is a summary with the time of its arrival.
+// serviceReport is a summary with the entry that sent it and the time of its arrival.
 type serviceReport struct {
 	Summary
-	at time.Time
+	source string
+	at     time.Time
 }
 
 // NewTracker returns a Tracker that knows of no requests.
@@ -325,8 +329,10 @@
 	}
 }
 
-// Apply replaces what a reporter has reported about a service, and drops reports that have expired.
-func (t *Tracker) Apply(reporter, service string, s Summary, now time.Time) {
+// Apply replaces what a reporter has reported about a service, and drops reports that have expired. The
+// source is the entry that sends the report: while the entries of a failure domain disagree on their hub,
+// the hub of most of them is heard.
+func (t *Tracker) Apply(reporter, source, service string, s Summary, now time.Time) {
 	t.reportsMu.Lock()
 	defer t.reportsMu.Unlock()
 	for name, r := range t.reports {
@@ -340,7 +346,10 @@
 		r = report{services: make(map[string]serviceReport)}
 		t.reports[reporter] = r
 	}
-	r.services[service] = serviceReport{s, now}
+	if was, ok := r.services[service]; ok && was.source != source && was.Entries > s.Entries && now.Sub(was.at) < preferenceTTL {
+		return
+	}
+	r.services[service] = serviceReport{s, source, now}
 }
 
 // Fit returns at most a number of rows with the same sums: fewer organisations have rows of their
--- a/internal/demand/tracker_test.go
+++ b/internal/demand/tracker_test.go
@@ -84,8 +84,8 @@
 func TestSilentReportersExpire(t *testing.T) {
 	tr := NewTracker()
 	row := Row{Key: Key{Service: "s", Region: "r"}, Arrived: 10}
-	tr.Apply("a", "s", Summary{Entries: 3, Rows: []Row{row}}, t0)
-	tr.Apply("b", "s", Summary{Entries: 1, Rows: []Row{row}}, t0.Add(time.Second))
+	tr.Apply("a", "a", "s", Summary{Entries: 3, Rows: []Row{row}}, t0)
+	tr.Apply("b", "b", "s", Summary{Entries: 1, Rows: []Row{row}}, t0.Add(time.Second))
 	for _, tt := range []struct {
 		after   time.Duration
 		arrived float64
@@ -97,7 +97,7 @@
 			t.Errorf("after %v: %v from %d entries, want %v from %d", tt.after, arrived, tr.Entries("s", now), tt.arrived, tt.entries)
 		}
 	}
-	tr.Apply("c", "other", Summary{Entries: 1}, t0.Add(time.Minute))
+	tr.Apply("c", "c", "other", Summary{Entries: 1}, t0.Add(time.Minute))
 	if len(tr.reports) != 1 {
 		t.Errorf("%d reporters are kept, want 1", len(tr.reports))
 	}
@@ -107,7 +107,7 @@
 func TestTotalReplacesSum(t *testing.T) {
 	tr := NewTracker()
 	tr.Record("s", 0, 0, t0)
-	tr.Apply(Total, "s", Summary{Entries: 73, Rows: []Row{{Key: Key{Service: "s", Region: "r"}, Arrived: 500}}}, t0)
+	tr.Apply(Total, "hub", "s", Summary{Entries: 73, Rows: []Row{{Key: Key{Service: "s", Region: "r"}, Arrived: 500}}}, t0)
 	if arrived, _ := sumOf(tr.Rows("s", t0)); arrived != 500 || tr.Entries("s", t0) != 73 {
 		t.Errorf("%v from %d entries", arrived, tr.Entries("s", t0))
 	}
@@ -154,7 +154,7 @@
 				service := fmt.Sprint("s", k%3)
 				tr.Record(service, k%2, uint32(k), t0)
 				tr.RecordAdmitted(service, k%2, uint32(k), t0)
-				tr.Apply(fmt.Sprint(i), service, Summary{Entries: 1, Rows: []Row{{Key: Key{Service: service}, Arrived: 1}}}, t0)
+				tr.Apply(fmt.Sprint(i), fmt.Sprint(i), service, Summary{Entries: 1, Rows: []Row{{Key: Key{Service: service}, Arrived: 1}}}, t0)
 				tr.RecordWork(service, time.Second, 1, t0)
 				tr.Rows(service, t0)
 			}
@@ -184,8 +184,36 @@
 	if w := tr.Summary("s", now).Work; math.Abs(w.Rate-10) > 0.5 || math.Abs(w.Mean()-0.2) > 1e-9 {
 		t.Errorf("own work: %+v", w)
 	}
-	tr.Apply("e", "s", Summary{Entries: 1, Work: Work{Busy: 15, Rate: 30}}, now)
+	tr.Apply("e", "e", "s", Summary{Entries: 1, Work: Work{Busy: 15, Rate: 30}}, now)
 	if got := tr.Summary("s", now).Work.Mean(); math.Abs(got-17.0/40) > 0.01 {
 		t.Errorf("mean work of both entries: %v", got)
 	}
 }
+
+// TestTwoHubsOfADomain has two hubs report for one failure domain. The one with more entries counts, until
+// it has become silent.
+func TestTwoHubsOfADomain(t *testing.T) {
+	tr := NewTracker()
+	sum := func(entries int) Summary {
+		return Summary{Entries: entries, Rows: []Row{{Key: Key{Service: "s", Region: "r"}, Arrived: float64(10 * entries)}}}
+	}
+	tr.Apply("*d", "first", "s", sum(8), t0)
+	for _, tt := range []struct {
+		after   time.Duration
+		source  string
+		entries int
+		want    float64
+	}{
+		{100 * time.Millisecond, "second", 4, 80},
+		{400 * time.Millisecond, "first", 7, 70},
+		{500 * time.Millisecond, "second", 9, 90},
+		{600 * time.Millisecond, "first", 3, 90},
+		{500*time.Millisecond + preferenceTTL, "first", 3, 30},
+	} {
+		now := t0.Add(tt.after)
+		tr.Apply("*d", tt.source, "s", sum(tt.entries), now)
+		if arrived, _ := sumOf(tr.Rows("s", now)); arrived != tt.want {
+			t.Errorf("after %v: %v arrive, want %v", tt.after, arrived, tt.want)
+		}
+	}
+}
--- a/internal/inflight/demand.go
+++ b/internal/inflight/demand.go
@@ -46,8 +46,8 @@
 	// Sum returns the demand reported by the reporters that from selects, plus that at the own entry
 	// if own is set.
 	Sum(service string, own bool, from func(reporter string) bool, now time.Time) demand.Summary
-	// Apply replaces what a reporter has reported about a service.
-	Apply(reporter, service string, s demand.Summary, now time.Time)
+	// Apply replaces what a reporter has reported about a service; source is the entry that sends it.
+	Apply(reporter, source, service string, s demand.Summary, now time.Time)
 }
 
 // ServiceDemand is the demand for a service at a number of entries.
@@ -118,8 +118,8 @@
 	}
 }
 
-// handleDemand applies a peer's report of demand. The sums of a failure domain are kept by the hub that
-// reports them: while its entries disagree on their hub, each of the hubs reports a part of them.
+// handleDemand applies a peer's report of demand. The sum of a failure domain is kept under the name
+// of the domain, as any of its entries may become the hub.
 func (x *Exchange) handleDemand(r *Report, from Peer, now time.Time) {
 	if x.opt.Demand == nil {
 		return
@@ -127,11 +127,11 @@
 	reporter := from.ID
 	switch r.DemandScope {
 	case ScopeDomain:
-		reporter = allOthers + from.ID
+		reporter = allOthers + from.Domain
 	case ScopeOthers:
 		reporter = demand.Total
 	}
-	x.opt.Demand.Apply(reporter, r.Demand.Service, r.Demand.Summary, now)
+	x.opt.Demand.Apply(reporter, from.ID, r.Demand.Service, r.Demand.Summary, now)
 }
 
 // appendDemand appends the encoding of up to maxDemandRows rows. Regions are encoded by their index in
