forward, overload: requests that differ in urgency wait at the entry, in order

A routed request never waited at an entry: it went into an upstream's first-come queue, up to three a slot, and missesObjective then refused what had to be answered soonest. Requests for a service whose routes differ in priority or objective, or whose organisations have priorities, now wait in order at the entry until an upstream of their object has room; upstreams get little more than they can start.

--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -23,6 +23,7 @@
 	"github.com/loomkeel/loomkeel/internal/demand"
 	"github.com/loomkeel/loomkeel/internal/logs"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/overload"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/reach"
@@ -67,6 +68,8 @@
 	// no entry is known.
 	Peers  func() Peers
 	IsPeer func(entry string, ip netip.Addr) bool
+	// Gate returns what divides the room of a service among its requests; nil admits all.
+	Gate func(service string) overload.Gate
 	// CapShares holds this entry's shares of the in-flight caps. Its times are read from
 	// BootClock, in nanoseconds.
 	CapShares *share.Limiter
@@ -148,6 +151,7 @@
 type serviceState struct {
 	balancer *balance.Balancer
 	queue    admit.Queue
+	ordered  orderedQueue
 	budget   *balance.RetryBudget
 	// shedBudget limits how often a shed request is retried without waiting in the queue.
 	shedBudget *balance.RetryBudget
@@ -221,7 +225,13 @@
 	p.demand.SetRegion(s.Region)
 	p.demand.Retain(func(service string) bool { return s.Services[service] != nil })
 	p.organisationLimits.Update(s.Organisations, s.LimitSlack, now)
-	p.snap.Store(s)
+	was := p.snap.Swap(s)
+	if was == nil || was.Revision == s.Revision {
+		return
+	}
+	for _, state := range p.allServices() {
+		p.reconsider(state)
+	}
 }
 
 // entriesOf returns the entries that send requests to the upstreams.
@@ -281,6 +291,9 @@
 	if state = p.services[service]; state == nil {
 		state = &serviceState{balancer: balance.NewBalancer(), budget: balance.NewRetryBudget(retryBurst), shedBudget: balance.NewRetryBudget(shedBurst), shift: shift.NewSplitter()}
 		state.balancer.OnLimitUpdate(p.notifyLimitUpdates)
+		if p.opt.Gate != nil {
+			state.ordered.gate = p.opt.Gate(service)
+		}
 		p.services[service] = state
 	}
 	return state
