--- a/internal/overload/pace.go
+++ b/internal/overload/pace.go
@@ -53,8 +53,9 @@
 	}
 }
 
-// perSecond returns the measured pace, or expected as far as little has been measured.
+// perSecond returns the measured pace, at least expected: fewer are also sent if a few requests wait for
+// single upstreams while there is room at others.
 func (p *pace) perSecond(now time.Time, expected float64) float64 {
 	prior := priorWindow.Seconds()
-	return (p.sent.value(now) + expected*prior) / (p.busy.value(now) + prior)
+	return max(expected, (p.sent.value(now)+expected*prior)/(p.busy.value(now)+prior))
 }
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -66,7 +66,7 @@
 	waiting int
 	seq     uint64
 	pace    pace
-	// expected is the pace to be expected as far as it is not measured.
+	// expected is the least pace to be expected.
 	expected float64
 	// refusedAt is when a request was last refused for want of room, and short is set while the
 	// service counts as short of room.
@@ -121,8 +121,8 @@
 	return out
 }
 
-// Arrive counts a request that asks for a slot for the first time. expected is the number of requests per
-// second that the entry can be expected to send as long as that is not measured.
+// Arrive counts a request that asks for a slot for the first time. expected is the least number of
+// requests per second that the entry can be expected to send.
 func (q *Queue[T]) Arrive(now time.Time, rank int, expected float64) {
 	q.expected = expected
 	s := q.state(now, rank)
