--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -114,6 +114,9 @@
 	if !v.Refused {
 		return nil
 	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.RefusedByGate(now, r.Rank)
 	return verdict.New(verdict.NotRun, reasonNoRoom, nil).WithRetryAfter(v.RetryAfter)
 }
 
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -21,9 +21,10 @@
 	// excessFactor is how many times as long as it may a waiting request must be expected to wait to
 	// be refused. Requests of which that is unclear keep their place.
 	excessFactor = 1.5
-	// reserveFrom is the part of the pace for which a rank and all more urgent ones together must ask so
-	// that the rank leaves places to the others; it leaves all that it should from the whole pace on.
-	reserveFrom = 0.6
+	// reserveFrom is the ratio of what a rank and all more urgent ones together ask for to the even part
+	// of the room from which the rank leaves places to the others. From reserveAll on it leaves all that it should.
+	reserveFrom = 1.0
+	reserveAll  = 1.25
 	// maxWaiting bounds the memory of a queue.
 	maxWaiting = 4096
 	// minActive is the number of recent arrivals from which other ranks leave places to a rank.
@@ -95,9 +96,11 @@
 	Asked  int64 `json:"asked"`
 	Sent   int64 `json:"sent"`
 	Waited int64 `json:"waited"`
-	// RefusedAtOnce counts requests refused on arrival, RefusedLater those that were let past and
+	// RefusedByGate counts requests that the service's gate refused, RefusedAtOnce those refused because
+	// their turn would have come too late, RefusedLater those that were let past and
 	// could no longer be served in time, Expired those that waited as long as they could, and Left
 	// those whose callers left.
+	RefusedByGate int64 `json:"refused_by_gate"`
 	RefusedAtOnce int64 `json:"refused_at_once"`
 	RefusedLater  int64 `json:"refused_later"`
 	Expired       int64 `json:"expired"`
@@ -130,6 +133,12 @@
 	s.stats.Asked++
 }
 
+// RefusedByGate counts a request that the service's gate refused.
+func (q *Queue[T]) RefusedByGate(now time.Time, rank int) {
+	q.state(now, rank).stats.RefusedByGate++
+	q.refusedAt = now
+}
+
 // Admit decides whether a request that found no slot may wait. It refuses
 // one that would miss its objective; RetryAfter is then when its turn would come.
 func (q *Queue[T]) Admit(now time.Time, r Request, latest time.Time) Verdict {
@@ -253,11 +262,11 @@
 			asked += other.arrivals.perSecond(now)
 		}
 	}
-	if urgent == 0 {
+	if urgent == 0 || q.expected <= 0 {
 		return 0
 	}
-	load := asked / q.pace.perSecond(now, q.expected)
-	return min(1, max(0, (load-reserveFrom)/(1-reserveFrom))) * float64(urgent) / float64(active-1)
+	load := asked / q.expected
+	return min(1, max(0, (load-reserveFrom)/(reserveAll-reserveFrom))) * float64(urgent) / float64(active-1)
 }
 
 // Shortage reports whether the service is short of room: whether requests have recently been refused for
