balance, forward: requests that wait take no replica that would have to do the full work

A waiting request was tried every 10 ms, and so found a moment at which a replica that doesn't have the object had a free slot, which then worked three times as long. Requests now wait for a replica that has the object as long as they can still meet their objective.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -61,6 +61,9 @@
 	Reserved float64
 	// Crowded is set if requests wait at the entry.
 	Crowded bool
+	// Patient is set if the request rather waits for an upstream that has its object than being sent to
+	// one that would have to do the full work.
+	Patient bool
 }
 
 // PickObject chooses the replica of an object with the least expected latency and takes one of its
@@ -212,7 +215,7 @@
 			return large && u.Domain == b.domain && !u.isWarm(req.Object, now) && b.hasSpareSlots(u, now, replicaLoadLimit)
 		},
 		func(i int, u *upstreamState) bool { return i == 0 || req.NoAffinity || u.isWarm(req.Object, now) },
-		func(_ int, u *upstreamState) bool { return b.hasSpareSlots(u, now, 1) },
+		func(_ int, u *upstreamState) bool { return !req.Patient && b.hasSpareSlots(u, now, 1) },
 	}
 	for _, tier := range tiers {
 		if u, rank := b.leastExpected(now, req, ranked, tier); u != nil {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -39,6 +39,8 @@
 	reserved float64
 	// crowded is set if requests for the service wait.
 	crowded bool
+	// patient is set while the request waits and can still meet its objective.
+	patient bool
 	// callerGone is closed when the caller leaves.
 	callerGone <-chan struct{}
 	body       *replayBody
@@ -136,7 +138,7 @@
 
 // objectRequest returns the balancer's request for a call with a route.
 func (c *call) objectRequest() balance.ObjectRequest {
-	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried, Ordered: c.service.Ordered, Reserved: c.reserved, Crowded: c.crowded}
+	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried, Ordered: c.service.Ordered, Reserved: c.reserved, Crowded: c.crowded, Patient: c.patient}
 	if c.Route.Affinity && c.Object != "" {
 		req.Object = balance.HashObject(c.Route.Name, c.Object)
 	} else {
--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -128,6 +128,7 @@
 	defer q.mu.Unlock()
 	p.logShortage(now, cl.service.Name, q)
 	p.dispatch(now, state)
+	cl.patient = false
 	choice, err := p.pickInOrder(now, cl, state)
 	if err == nil {
 		q.queue.Sent(now, r.Rank)
@@ -166,6 +167,7 @@
 		return
 	}
 	for _, w := range slices.Collect(q.Order(now)) {
+		w.Value.cl.patient = !w.Latest.Before(now)
 		choice, err := p.pickInOrder(now, w.Value.cl, state)
 		if isFull(err) {
 			continue
