--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -53,6 +53,17 @@
 	NoTrial bool
 	// NoAffinity is set if the request concerns no particular object, so that any upstream will do.
 	NoAffinity bool
+	// Ordered is set if the request can wait at the entry until an upstream has room for it, so that
+	// it need not wait at an upstream, where order is not kept.
+	Ordered bool
+	// Reserved is the part of the requests that an upstream may get beyond its slots that is kept for
+	// more urgent requests than this one, from 0 to 1. It only matters if Ordered is set.
+	Reserved float64
+	// Crowded is set if requests wait at the entry.
+	Crowded bool
+	// Patient is set if the request rather waits for an upstream that has its object than being sent to
+	// one that would have to do the full work.
+	Patient bool
 }
 
 // PickObject chooses the replica of an object with the least expected latency and takes one of its
@@ -95,6 +106,7 @@
 		u.lastAnswer = c.SendAt
 	}
 	u.inFlight++
+	u.endedAt = time.Time{}
 	u.sent++
 	b.countSend(u, now)
 	b.spendLimit(u, now)
@@ -209,7 +221,7 @@
 			return large && u.Domain == b.domain && !u.isWarm(req.Object, now) && b.hasSpareSlots(u, now, replicaLoadLimit)
 		},
 		func(i int, u *upstreamState) bool { return i == 0 || req.NoAffinity || u.isWarm(req.Object, now) },
-		func(_ int, u *upstreamState) bool { return b.hasSpareSlots(u, now, 1) },
+		func(_ int, u *upstreamState) bool { return !req.Patient && b.hasSpareSlots(u, now, 1) },
 	}
 	for _, tier := range tiers {
 		if u, rank := b.leastExpected(now, req, ranked, tier); u != nil {
@@ -243,7 +255,7 @@
 	var least time.Duration
 	rank := 0
 	for i, c := range ranked {
-		if !allowed(i, c.state) || c.limitWait(now) > 0 || !b.hasCapacity(c.state, now) || b.missesObjective(c.state, now, req) {
+		if !allowed(i, c.state) || c.limitWait(now) > 0 || !b.hasCapacity(c.state, now, req) || b.missesObjective(c.state, now, req) {
 			continue
 		}
 		t := b.expectedLatency(c.state, now, req, i)
