forward: requests beyond the part of their rank or organisation are refused while room is short

Cause: a request for an object went into one upstream's queue whoever sent it.

Change: each service has a gate of package fairshare, which is asked once for each request with a route before an upstream is picked, and gets a new plan each 250 ms while the service's slots are under pressure and entries hear of each other's demand. Refusals have the reason over-fair-share; they carry Retry-After only where room is kept for the return. Counts and the plan are in metrics and the state dump. It takes no effect where upstreams tell no slots, or all requests have one rank and organisation.

--- a/internal/fairshare/fleet_test.go
+++ b/internal/fairshare/fleet_test.go
@@ -56,7 +56,6 @@
 
 func (r result) inTimePart() float64 { return float64(r.inTime) / float64(max(1, r.asked)) }
 func (r result) servedPart() float64 { return float64(r.served) / float64(max(1, r.asked)) }
-func (r result) keptPart() float64   { return float64(r.kept) / float64(max(1, r.promised)) }
 
 // gateFleet is a fleet of gates in front of the pool.
 type gateFleet struct {
--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -75,6 +75,9 @@
 	return &Gate{seed: self, lanes: make(map[Key]*lane), ranks: make(map[int]*rankState)}
 }
 
+// Active reports whether Admit needs to be called.
+func (g *Gate) Active() bool { return g.plan.Load() != nil }
+
 // Admit implements overload.Gate.
 func (g *Gate) Admit(now time.Time, r overload.Request) overload.Verdict {
 	p := g.plan.Load()
@@ -198,7 +201,7 @@
 	for _, c := range claims {
 		demand += c.Slots
 	}
-	if now.Sub(in.ReportedAt) > planTTL || !(in.Room.Slots > 0) || !(in.Room.Busy >= 0) || demand == 0 {
+	if now.Sub(in.ReportedAt) > planTTL || !(in.Room.Slots > 0) || !(in.Room.Busy >= 0) || !differ(claims) {
 		g.estimate.short, g.estimate.steps = false, 0
 		g.plan.Store(nil)
 		return false, was
@@ -222,6 +225,16 @@
 	return true, !was
 }
 
+// differ reports whether there is demand of more than one rank or organisation.
+func differ(claims []Claim) bool {
+	for _, c := range claims {
+		if c.Slots > 0 && c.Key != claims[0].Key {
+			return true
+		}
+	}
+	return false
+}
+
 // watch lets the gate learn how much time requests have left, so that returns are told from first
 // attempts once room is short. All requests are admitted.
 func (g *Gate) watch(now time.Time, claims []Claim) {
--- a/internal/fairshare/status.go
+++ b/internal/fairshare/status.go
@@ -37,6 +37,8 @@
 	// Organisation is the hash of the organisation's name; 0 stands for all organisations that are not
 	// told apart, and for requests without organisation.
 	Organisation uint32 `json:"organisation"`
+	// Name is the organisation's name, where the caller of Status adds it.
+	Name string `json:"name,omitempty"`
 	// Part is the part of the requests that the last plan grants.
 	Part float64 `json:"part"`
 	Counts
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -28,6 +28,8 @@
 	charged bool
 	// admitted is set once the request has got a slot of an upstream.
 	admitted bool
+	// passedFairShare is set once the request has been counted against its part of the service's room.
+	passedFairShare bool
 	// attempts is the largest number of attempts for the request.
 	attempts int
 	priority int
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -152,6 +152,8 @@
 	// shedBudget limits how often a shed request is retried without waiting in the queue.
 	shedBudget *balance.RetryBudget
 	shift      *shift.Splitter
+	// fair divides the room among ranks and organisations.
+	fair *fairShares
 }
 
 // New returns a Proxy that rejects all requests until the first Update.
@@ -211,6 +213,7 @@
 			JoinedSince: s.ChangedSince,
 		}, now)
 		p.closeIdle(restarted)
+		state.fair.enabled.Store(svc.Routed && slotsKnown(svc))
 		if svc.Routed {
 			state.budget.SetBurst(svc.RetryBurst)
 		}
@@ -279,7 +282,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if state = p.services[service]; state == nil {
-		state = &serviceState{balancer: balance.NewBalancer(), budget: balance.NewRetryBudget(retryBurst), shedBudget: balance.NewRetryBudget(shedBurst), shift: shift.NewSplitter()}
+		state = &serviceState{balancer: balance.NewBalancer(), budget: balance.NewRetryBudget(retryBurst), shedBudget: balance.NewRetryBudget(shedBurst), shift: shift.NewSplitter(), fair: newFairShares(p.opt.Self)}
 		state.balancer.OnLimitUpdate(p.notifyLimitUpdates)
 		p.services[service] = state
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -101,7 +101,9 @@
 	if last.Reason == ReasonShed || last.Reason == reasonWithdrawn {
 		reply.retryAfter = p.spreadRetryAfter(state.balancer.UntilAccepted(p.now(), cl.allows))
 	}
-	reply.retryAfter = max(reply.retryAfter, state.retryAfter(regions[0]))
+	if last.Reason != reasonOverFairShare {
+		reply.retryAfter = max(reply.retryAfter, state.retryAfter(regions[0]))
+	}
 	p.reply(w, r, cl.body, out, reply)
 }
 
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -92,11 +92,12 @@
 // OrganisationLimits returns the limiter of the organisations' requests.
 func (p *Proxy) OrganisationLimits() *quota.Limiter { return p.organisationLimits }
 
-// Tick ends requests whose deadline passed while the machine was suspended, and drops expired
-// records of requests that crashed upstreams. It is called periodically.
+// Tick ends requests whose deadline passed while the machine was suspended, divides the room of
+// services that are short of it, and drops expired records of requests that crashed upstreams. It is called periodically.
 func (p *Proxy) Tick() {
 	now := p.opt.SyncNow()
 	p.deadlines.expire(now)
+	p.updateFairShares(now)
 	p.poison.Expire(now)
 	p.planShares(now)
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/entry"
+	"github.com/loomkeel/loomkeel/internal/fairshare"
 	"github.com/loomkeel/loomkeel/internal/forward"
 	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/poison"
@@ -28,6 +29,8 @@
 	Reach reach.Status `json:"reach"`
 	// Handovers counts the requests that were handed over to other nodes, and by them.
 	Handovers forward.HandoverStatus `json:"handovers"`
+	// FairShares is the state of the services whose room is divided among ranks and organisations.
+	FairShares map[string]fairshare.Status `json:"fair_shares,omitempty"`
 	// Store is the state of the platform's key-value store as the node observes it.
 	Store view.StoreStatus `json:"service"`
 }
@@ -39,6 +42,7 @@
 	}
 	s.Poison = n.Entry.Proxy.PoisonStatus()
 	s.Reach = n.Entry.Proxy.ReachStatus()
+	s.FairShares = n.Entry.Proxy.FairShares()
 	s.Handovers = n.Entry.Proxy.HandoverStatus()
 	n.mu.Lock()
 	defer n.mu.Unlock()
