fairshare: the room counts requests that wait at entries, and aims at more where they wait in order

Cause: with the ordered wait in front of upstreams, slots idled while requests were refused: each request can only go to a few upstreams, so that all slots are busy only while some requests wait.

Change: corrections aim at 1.3 requests per slot, at 1.8 where requests wait at entries in order; those that wait at entries count, by this entry's part of the arrivals.

--- a/internal/fairshare/estimate.go
+++ b/internal/fairshare/estimate.go
@@ -9,16 +9,20 @@
 	// Interval is the time between two calls of Gate.Update, for which the constants below hold.
 	Interval = 250 * time.Millisecond
 
-	// targetUtilisation is the part of the slots that a plan means to occupy.
+	// targetUtilisation is the part of the slots that a plan means to occupy before it is corrected.
 	targetUtilisation = 0.95
-	// waitingPerRoot is the number of requests that may wait at the upstreams, per square root of the
-	// number of slots: as many wait at this utilisation when requests arrive at random.
-	waitingPerRoot = 1.5
-	// beginUtilisation is the occupied part of the slots from which the demand may exceed the room.
+	// meantPerSlot is the number of requests per slot, running and waiting, that corrections aim at.
+	// Each request can only go to a few upstreams: with less waiting, some slots are idle while others
+	// have queues.
+	meantPerSlot = 1.3
+	// meantOrdered is the same where requests wait at entries in the order of their ranks: then a longer
+	// wait does not cost the urgent ones.
+	meantOrdered = 1.8
+	// beginUtilisation is the number of requests per slot from which the demand may exceed the room.
 	beginUtilisation = 0.95
-	// queuedUtilisation is the number of requests per slot, running and waiting, from which there is no
-	// room whatever the estimated demand.
-	queuedUtilisation = 1.5
+	// queuedUtilisation is the number of requests per slot from which there is no room whatever the
+	// estimated demand.
+	queuedUtilisation = 2.5
 	// endUtilisation is the occupied part of the slots below which there is room whatever the
 	// estimated demand, and endDemand the demand, as a part of the room, from which there is room.
 	endUtilisation = 0.5
@@ -37,7 +41,7 @@
 	growGain   = 0.1
 	shrinkGain = 0.05
 	// maxError bounds the requests per slot beyond those meant that are taken into account.
-	maxError = 1.5
+	maxError = 0.8
 	// maxCorrection bounds the correction: work measured at cold and at warm upstreams differs
 	// threefold.
 	maxCorrection = 4.0
@@ -48,7 +52,9 @@
 	// correction is the factor by which the slots that the demand needs are less than its measured work
 	// says; 0 before the first use.
 	correction float64
-	short      bool
+	// meant is the number of requests per slot that corrections aim at.
+	meant float64
+	short bool
 	// lastBusy is the number of requests at the upstreams at the last update.
 	lastBusy float64
 	// steps counts the updates in a row that speak for the opposite of short.
@@ -61,7 +67,7 @@
 	if e.correction == 0 {
 		e.correction = 1
 	}
-	off := utilisationError(slots, busy)
+	off := e.off(slots, busy)
 	queueGrows := busy >= e.lastBusy
 	e.lastBusy = busy
 	room := e.room(slots, off)
@@ -108,11 +114,10 @@
 	}
 }
 
-// utilisationError returns by how much the requests per slot, running and waiting, are less than they
+// off returns by how much the requests per slot, running and waiting, are less than they
 // should be.
-func utilisationError(slots, busy float64) float64 {
-	target := targetUtilisation + waitingPerRoot/math.Sqrt(slots)
-	return max(-maxError, target-busy/slots)
+func (e *estimate) off(slots, busy float64) float64 {
+	return max(-maxError, e.meant-busy/slots)
 }
 
 func bounded(correction float64) float64 {
--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -19,6 +19,8 @@
 	workWeight = 0.05
 	// arrivalWeight is the weight of an update in the mean rates of arrivals.
 	arrivalWeight = 0.25
+	// waitingWeight is the weight of an update in the mean number of waiting requests.
+	waitingWeight = 0.5
 	// maxLanes bounds the keys whose counts are kept; those without a part are dropped beyond it.
 	maxLanes = 4 * maxRanks * (maxOrganisations + 1)
 )
@@ -37,6 +39,8 @@
 	lanes    map[Key]*lane
 	ranks    map[int]*rankState
 	last     Status
+	// waiting is the mean number of requests that wait at all entries.
+	waiting float64
 }
 
 // activePlan is a plan in force. It has no lanes while room may become short.
@@ -183,6 +187,10 @@
 // Input is what a plan is made from.
 type Input struct {
 	Room balance.Room
+	// Waiting is the number of requests that wait at this entry for an upstream.
+	Waiting int
+	// Ordered is set if requests wait at entries in the order of their ranks, rather than at upstreams.
+	Ordered bool
 	// Rows is the demand for the service over all entries, ReportedAt the time of the last report in it.
 	Rows       []demand.Row
 	ReportedAt time.Time
@@ -206,6 +214,11 @@
 		g.plan.Store(nil)
 		return false, was
 	}
+	in.Room.Busy += g.waitingAtAll(in.Waiting)
+	g.estimate.meant = meantPerSlot
+	if in.Ordered {
+		g.estimate.meant = meantOrdered
+	}
 	room := g.estimate.update(in.Room.Slots, in.Room.Busy, demand)
 	g.last = Status{Short: g.estimate.short, Slots: in.Room.Slots, Busy: in.Room.Busy, Room: room, Demand: demand, Correction: g.estimate.correction}
 	idle := in.Room.Busy < endUtilisation*in.Room.Slots
@@ -225,6 +238,22 @@
 	return true, !was
 }
 
+// waitingAtAll returns the estimated number of requests that wait at all entries, by those that wait at
+// this one and its part of the arrivals.
+func (g *Gate) waitingAtAll(here int) float64 {
+	own, fleet := 0.0, 0.0
+	for _, s := range g.ranks {
+		own += s.own
+		fleet += s.fleet
+	}
+	waiting := float64(here)
+	if own > 0 {
+		waiting *= max(1, fleet/own)
+	}
+	g.waiting += waitingWeight * (waiting - g.waiting)
+	return g.waiting
+}
+
 // differ reports whether there is demand of more than one rank or organisation.
 func differ(claims []Claim) bool {
 	for _, c := range claims {
