forward, overload: requests that differ in urgency wait at the entry, in order

A routed request never waited at an entry: it went into an upstream's first-come queue, up to three a slot, and missesObjective then refused what had to be answered soonest. Requests for a service whose routes differ in priority or objective, or whose organisations have priorities, now wait in order at the entry until an upstream of their object has room; upstreams get little more than they can start.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -53,6 +53,9 @@
 	NoTrial bool
 	// NoAffinity is set if the request concerns no particular object, so that any upstream will do.
 	NoAffinity bool
+	// Ordered is set if the request can wait at the entry until an upstream has room for it, so that
+	// it need not wait at an upstream, where order is not kept.
+	Ordered bool
 }
 
 // PickObject chooses the replica of an object with the least expected latency and takes one of its
@@ -236,7 +239,7 @@
 	var least time.Duration
 	rank := 0
 	for i, c := range ranked {
-		if !allowed(i, c.state) || c.limitWait(now) > 0 || !b.hasCapacity(c.state, now) || b.missesObjective(c.state, now, req) {
+		if !allowed(i, c.state) || c.limitWait(now) > 0 || !b.hasCapacity(c.state, now, req) || b.missesObjective(c.state, now, req) {
 			continue
 		}
 		t := b.expectedLatency(c.state, now, req, i)
--- a/internal/balance/late.go
+++ b/internal/balance/late.go
@@ -14,6 +14,10 @@
 	// assumedServiceShare is the service time assumed for a class before the first answers, as a
 	// share of its objective: operators set objectives that leave time for waiting.
 	assumedServiceShare = 0.5
+	// reportAge is the usual age of the other entries' reports of their requests. While requests wait
+	// at the entries, an upstream gets as many more than it runs as it finishes in this time: with
+	// fewer it would be idle until the entries know of its free slots.
+	reportAge = 150 * time.Millisecond
 )
 
 // LateError reports that at present every upstream would miss the request's objective, but that a
@@ -64,11 +68,10 @@
 // for it.
 func (b *Balancer) missesObjective(u *upstreamState, now time.Time, req ObjectRequest) bool {
 	wait := b.expectedWait(u, now, req)
-	if req.Objective <= 0 || wait <= 0 {
+	if req.Ordered || req.Objective <= 0 || wait <= 0 {
 		return false
 	}
-	warm := cmp.Or(b.classStats(req.Class).warm, req.assumedServiceTime())
-	return b.roundTrip[u.Region]+wait+warm > req.Objective
+	return b.roundTrip[u.Region]+wait+b.warmWork(req) > req.Objective
 }
 
 // assumedServiceTime returns the service time assumed until the first one is observed, for example
@@ -85,18 +88,61 @@
 }
 
 // hasCapacity reports whether an upstream may be sent one more request.
-func (b *Balancer) hasCapacity(u *upstreamState, now time.Time) bool {
+func (b *Balancer) hasCapacity(u *upstreamState, now time.Time, req ObjectRequest) bool {
 	if now.Before(u.shedUntil) || u.awaitsRecovery(now) || b.cold(u, now) && !b.allowCold(u, now) {
 		return false
 	}
-	return b.outstanding(u, now)+1 <= b.capacity(u)
+	return b.outstanding(u, now)+1 <= b.capacity(u, now, req)
 }
 
 // capacity returns how many requests an upstream may have, running and waiting. An upstream that
 // fails repeatedly gets one request at a time, to detect its recovery.
-func (b *Balancer) capacity(u *upstreamState) float64 {
+func (b *Balancer) capacity(u *upstreamState, now time.Time, req ObjectRequest) float64 {
 	if u.failures >= ejectionThreshold {
 		return 1
 	}
-	return maxRequestsPerSlot * float64(max(u.Slots, 1))
+	perSlot := maxRequestsPerSlot
+	if req.Ordered {
+		perSlot = orderedPerSlot(time.Duration(u.currentSlowdown(now) * float64(b.warmWork(req))))
+	}
+	return perSlot * float64(max(u.Slots, 1))
+}
+
+// orderedPerSlot returns how many requests an upstream may have per slot while further ones wait at the
+// entries, where order is kept. work is the time for which a request holds a slot.
+func orderedPerSlot(work time.Duration) float64 {
+	if work <= 0 {
+		return maxRequestsPerSlot
+	}
+	return min(maxRequestsPerSlot, 1+float64(reportAge)/float64(work))
+}
+
+// warmWork returns the time for which a request holds a slot of an upstream that is warm for its object.
+func (b *Balancer) warmWork(req ObjectRequest) time.Duration {
+	return cmp.Or(b.classStats(req.Class).warm, req.assumedServiceTime())
+}
+
+// Outlook is what a request that waits at the entry can expect.
+type Outlook struct {
+	// Work is the time for which the request holds a slot.
+	Work time.Duration
+	// Response is the time from sending the request to an upstream that has as many as it may have
+	// to the response.
+	Response time.Duration
+	// PerSecond is the even part of this entry in the requests per second that all upstreams can do; 0
+	// if unknown.
+	PerSecond float64
+}
+
+// Outlook returns what a request can expect if it waits at the entry.
+func (b *Balancer) Outlook(now time.Time, req ObjectRequest) Outlook {
+	room := b.Room(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	work := b.warmWork(req)
+	o := Outlook{Work: work, Response: work + time.Duration((orderedPerSlot(work)-1)*float64(work)) + b.roundTrip[b.region]}
+	if mean := cmp.Or(room.Work, work); mean > 0 {
+		o.PerSecond = room.Slots / mean.Seconds() / float64(max(1, len(b.entries)))
+	}
+	return o
 }
--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -212,7 +212,7 @@
 func (b *Balancer) firstWithinLimit(now time.Time, req ObjectRequest, ranked []candidate) (first *upstreamState, rank int, least time.Duration) {
 	for i, c := range ranked {
 		wait := c.limitWait(now)
-		if c.spills || wait == 0 || wait > maxLimitWait || !b.hasCapacity(c.state, now) || b.missesObjective(c.state, now, req) {
+		if c.spills || wait == 0 || wait > maxLimitWait || !b.hasCapacity(c.state, now, req) || b.missesObjective(c.state, now, req) {
 			continue
 		}
 		if first == nil || wait < least {
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -35,6 +35,9 @@
 	if d.Reason != "" {
 		return balance.Choice{}, verdict.New(verdict.NotRun, string(d.Reason), nil).WithRetryAfter(d.RetryAfter)
 	}
+	if svc.Ordered {
+		return p.acquireInOrder(ctx, now, cl, state)
+	}
 	if svc.Routed {
 		return p.acquireForObject(ctx, now, cl, state, regions[0])
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -29,7 +29,13 @@
 	// attempts is the largest number of attempts for the request.
 	attempts int
 	priority int
-	body     *replayBody
+	// rank is the priority of a request with a route, 0 being the most urgent.
+	rank int
+	// passedGate is set once the request has been counted and admitted to its service's room.
+	passedGate bool
+	// callerGone is closed when the caller leaves.
+	callerGone <-chan struct{}
+	body       *replayBody
 	// tried holds the IDs of upstreams that must not get the request again.
 	tried []string
 	// headKeys are the request's poison keys without the body.
@@ -57,18 +63,22 @@
 		body:        newReplayBody(r, memory),
 		outcome:     verdict.NotRun,
 		headKeys:    headKeysOf(r, &info),
+		callerGone:  r.Context().Done(),
 	}
 	maxTimeout := svc.Deadline
 	if info.Route != nil {
 		c.attempts = info.Route.Attempts
 		c.allows = info.allows
-		c.priority = admit.PriorityOf(priorityOf(&info))
+		c.setRank(priorityOf(&info))
 		maxTimeout = info.Route.Timeout
 	}
 	c.deadline = now.Add(minTimeout(info.Timeout, maxTimeout))
 	return c
 }
 
+// setRank sets the priority of a request with a route.
+func (c *call) setRank(rank int) { c.rank, c.priority = rank, admit.PriorityOf(rank) }
+
 // applyHandover applies what the entry says that handed the request over; nil means that none did.
 func (c *call) applyHandover(o *handover) {
 	c.handover = o
@@ -120,7 +130,7 @@
 
 // objectRequest returns the balancer's request for a call with a route.
 func (c *call) objectRequest() balance.ObjectRequest {
-	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried}
+	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried, Ordered: c.service.Ordered}
 	if c.Route.Affinity && c.Object != "" {
 		req.Object = balance.HashObject(c.Route.Name, c.Object)
 	} else {
--- a/internal/forward/organisationlimit.go
+++ b/internal/forward/organisationlimit.go
@@ -76,6 +76,7 @@
 		p.chargeOrganisation(cl)
 	}
 	cl.allows = info.allows
+	cl.setRank(priorityOf(&info))
 	return nil
 }
 
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -22,6 +22,7 @@
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/logs"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/overload"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/reach"
@@ -66,6 +67,8 @@
 	// no entry is known.
 	Peers  func() Peers
 	IsPeer func(entry string, ip netip.Addr) bool
+	// Gate returns what divides the room of a service among its requests; nil admits all.
+	Gate func(service string) overload.Gate
 	// CapShares holds this entry's shares of the in-flight caps. Its times are read from
 	// BootClock, in nanoseconds.
 	CapShares *share.Limiter
@@ -146,6 +149,7 @@
 type serviceState struct {
 	balancer *balance.Balancer
 	queue    admit.Queue
+	ordered  orderedQueue
 	budget   *balance.RetryBudget
 	// shedBudget limits how often a shed request is retried without waiting in the queue.
 	shedBudget *balance.RetryBudget
@@ -216,7 +220,13 @@
 	p.reach.SetKnown(knownUpstreams(s))
 	p.rollouts.SetTraffic(trafficOf(s))
 	p.organisationLimits.Update(s.Organisations, s.LimitSlack, now)
-	p.snap.Store(s)
+	was := p.snap.Swap(s)
+	if was == nil || was.Revision == s.Revision {
+		return
+	}
+	for _, state := range p.allServices() {
+		p.reconsider(state)
+	}
 }
 
 // entriesOf returns the entries that send requests to the upstreams.
@@ -276,6 +286,9 @@
 	if state = p.services[service]; state == nil {
 		state = &serviceState{balancer: balance.NewBalancer(), budget: balance.NewRetryBudget(retryBurst), shedBudget: balance.NewRetryBudget(shedBurst), shift: shift.NewSplitter()}
 		state.balancer.OnLimitUpdate(p.notifyLimitUpdates)
+		if p.opt.Gate != nil {
+			state.ordered.gate = p.opt.Gate(service)
+		}
 		p.services[service] = state
 	}
 	return state
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -49,6 +49,9 @@
 			return
 		}
 		choice, err := p.acquire(ctx, cl, state, regions, mustWait)
+		if err != nil && err.Reason == reasonReconsider {
+			continue
+		}
 		if err != nil {
 			if last == nil || err.Verdict == verdict.MayHaveRun {
 				last = err
@@ -158,6 +161,7 @@
 func (p *Proxy) release(state *serviceState, choice balance.Choice, r balance.DoneInfo) balance.Result {
 	result := state.balancer.Done(p.now(), choice, r)
 	state.queue.Wake()
+	p.wakeOrdered(state)
 	return result
 }
 
--- a/internal/forward/status.go
+++ b/internal/forward/status.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/overload"
 	"github.com/loomkeel/loomkeel/internal/poison"
 	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/share"
@@ -125,9 +126,11 @@
 type ServiceStatus struct {
 	// Waiting is the number of requests in the queue, and Shares the part of the requests that
 	// each move currently sends to its target region, by the path of the move.
-	Waiting   int                `json:"waiting"`
-	Shares    map[string]float64 `json:"move_shares,omitempty"`
-	Upstreams []balance.Status   `json:"upstreams"`
+	Waiting int                `json:"waiting"`
+	Shares  map[string]float64 `json:"move_shares,omitempty"`
+	// Ranks is the state of the requests that wait in order for an upstream, by rank.
+	Ranks     []overload.RankStatus `json:"ranks,omitempty"`
+	Upstreams []balance.Status      `json:"upstreams"`
 }
 
 // Dump returns the state of each service by name.
@@ -137,7 +140,7 @@
 	defer p.mu.RUnlock()
 	out := make(map[string]ServiceStatus, len(p.services))
 	for name, state := range p.services {
-		out[name] = ServiceStatus{state.queue.Len(), state.shift.Shares(), state.balancer.Dump(now)}
+		out[name] = ServiceStatus{state.queue.Len(), state.shift.Shares(), state.orderStatus(), state.balancer.Dump(now)}
 	}
 	return out
 }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -94,6 +94,10 @@
 	// Routed is set if requests select the service by a Route, which also holds
 	// their timeout, attempts and priority, rather than by the service's name.
 	Routed bool
+	// Ordered is set if requests of different urgency compete for the upstreams of a routed service:
+	// its routes differ in priority or objective, or an organisation has a priority of its own.
+	// Requests then wait for an upstream in the order of their urgency.
+	Ordered bool
 	// HealthPath is the HTTP path of the upstreams' health check.
 	HealthPath string
 	// MaxConnections is the largest number of connections that an upstream accepts
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -189,8 +189,10 @@
 		Advertised:    Advertised(in.Members),
 		Regions:       []string{in.Region},
 	}
+	ordered := orderedServices(in.Config)
 	for name, c := range in.Config.Services {
 		s.Services[name] = routedService(name, c, in, s.Advertised)
+		s.Services[name].Ordered = ordered[name]
 	}
 	s.allocateUpstreams(in.Upstreams)
 	for i := range in.Upstreams {
@@ -210,6 +212,27 @@
 	return s
 }
 
+// orderedServices returns the services whose requests differ in urgency; see Service.Ordered.
+func orderedServices(c *Config) map[string]bool {
+	type urgency struct {
+		priority  int
+		objective time.Duration
+	}
+	ownPriority := slices.ContainsFunc(c.Organisations.All(), func(o *Organisation) bool { return o.Priority != PriorityFromRoute })
+	first := make(map[string]urgency)
+	ordered := make(map[string]bool)
+	for _, r := range c.Routes {
+		u := urgency{r.Priority, r.Objective}
+		for _, s := range r.Services {
+			if was, ok := first[s.Service]; ownPriority || ok && was != u {
+				ordered[s.Service] = true
+			}
+			first[s.Service] = u
+		}
+	}
+	return ordered
+}
+
 // allocateUpstreams allocates the lists of the services' upstreams, which would otherwise be copied
 // several times while they grow.
 func (s *Snapshot) allocateUpstreams(all []Upstream) {
