forward, balance: less urgent requests leave places at upstreams, and entries take turns

Upstreams filled with requests of the least urgent rank of other entries, for which the most urgent ones of this entry then waited. Each rank now leaves a part of the places behind the slots to more urgent ones, and takes those it may at times of its own, since all entries see the same free place between two reports.

--- a/internal/balance/affinity.go
+++ b/internal/balance/affinity.go
@@ -56,6 +56,11 @@
 	// Ordered is set if the request can wait at the entry until an upstream has room for it, so that
 	// it need not wait at an upstream, where order is not kept.
 	Ordered bool
+	// Reserved is the part of the requests that an upstream may get beyond its slots that is kept for
+	// more urgent requests than this one, from 0 to 1. It only matters if Ordered is set.
+	Reserved float64
+	// Crowded is set if requests wait at the entry.
+	Crowded bool
 }
 
 // PickObject chooses the replica of an object with the least expected latency and takes one of its
@@ -91,6 +96,7 @@
 		best.lastAnswer = c.SendAt
 	}
 	best.inFlight++
+	best.endedAt = time.Time{}
 	best.sent++
 	b.countSend(best, now)
 	b.spendLimit(best, now)
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -58,6 +58,8 @@
 type upstreamState struct {
 	model.Upstream
 	inFlight int
+	// endedAt is when a request of this entry ended that no other has replaced yet.
+	endedAt time.Time
 	// sent counts the requests that this entry has sent.
 	sent int64
 	// otherLoad is the number of requests of other entries as of the last load report, which came
@@ -151,10 +153,12 @@
 
 	// self, region and domain are the ID, region and failure domain of this entry. entries are the
 	// entries that carry requests.
-	self    string
-	region  string
-	domain  string
-	entries []model.Member
+	self string
+	// selfHash is the hash of self.
+	selfHash uint64
+	region   string
+	domain   string
+	entries  []model.Member
 	// coldRate is the limit on the requests per second that all entries together send to a cold
 	// upstream.
 	coldRate float64
@@ -230,6 +234,7 @@
 	first := len(b.byID) == 0
 	b.warmup, b.coldRate, b.draining = svc.Warmup, svc.ColdRate, in.Draining
 	b.routed = svc.Routed
+	b.selfHash = xxhash.Sum64String(in.Self)
 	b.self, b.region, b.domain, b.entries = in.Self, in.Region, in.Domain, in.Entries
 	b.upstreams = make([]*upstreamState, 0, len(svc.Upstreams))
 	b.byRegion = emptyLists(b.byRegion)
--- a/internal/balance/done.go
+++ b/internal/balance/done.go
@@ -47,6 +47,7 @@
 		return r.Result
 	}
 	u.inFlight--
+	u.endedAt = now
 	b.inFlight[c.Region]--
 	if best := b.roundTrip[c.Region]; r.ConnectTime > 0 && (best == 0 || r.ConnectTime < best) {
 		b.roundTrip[c.Region] = r.ConnectTime
--- a/internal/balance/late.go
+++ b/internal/balance/late.go
@@ -92,7 +92,31 @@
 	if now.Before(u.shedUntil) || u.awaitsRecovery(now) || b.cold(u, now) && !b.allowCold(u, now) {
 		return false
 	}
-	return b.outstanding(u, now)+1 <= b.capacity(u, now, req)
+	places := b.capacity(u, now, req) - b.outstanding(u, now)
+	return places >= 1 && (!req.Ordered || req.Reserved == 0 || b.takesTurn(u, now, places, req))
+}
+
+const (
+	// turnLength is the time for which an entry has or lacks the turn at an upstream, and turnsPerReport
+	// the number of turns after which the other entries know of a request.
+	turnLength     = 10 * time.Millisecond
+	turnsPerReport = 4
+	// replacedWithin is the time after the end of a request in which its entry may send another one in
+	// its place.
+	replacedWithin = 2 * time.Millisecond
+)
+
+// takesTurn reports whether this entry may take one of the places behind the slots of an upstream now.
+// All entries see the same free places until they know of each other's requests, so that each of those
+// that use the upstream takes only its part of them, at times of its own. The place of an own request that has
+// just ended is taken at once, and so are free slots while no request waits.
+func (b *Balancer) takesTurn(u *upstreamState, now time.Time, places float64, req ObjectRequest) bool {
+	if !req.Crowded && b.outstanding(u, now)+1 <= float64(u.Slots) || now.Sub(u.endedAt) < replacedWithin {
+		return true
+	}
+	users := float64(1 + len(u.peerRequests.byPeer))
+	turn := uint64(now.UnixNano() / int64(turnLength))
+	return uniform(u.idHash^mix(turn^b.selfHash)) < places/(turnsPerReport*users*req.Reserved*req.Reserved*req.Reserved)
 }
 
 // capacity returns how many requests an upstream may have, running and waiting. An upstream that
@@ -103,7 +127,8 @@
 	}
 	perSlot := maxRequestsPerSlot
 	if req.Ordered {
-		perSlot = orderedPerSlot(time.Duration(u.currentSlowdown(now) * float64(b.warmWork(req))))
+		work := time.Duration(u.currentSlowdown(now) * float64(b.warmWork(req)))
+		perSlot = 1 + (orderedPerSlot(work)-1)*(1-req.Reserved)
 	}
 	return perSlot * float64(max(u.Slots, 1))
 }
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -33,6 +33,10 @@
 	rank int
 	// passedGate is set once the request has been counted and admitted to its service's room.
 	passedGate bool
+	// reserved is the part of the places at upstreams that the request leaves to more urgent ones.
+	reserved float64
+	// crowded is set if requests for the service wait.
+	crowded bool
 	// callerGone is closed when the caller leaves.
 	callerGone <-chan struct{}
 	body       *replayBody
@@ -130,7 +134,7 @@
 
 // objectRequest returns the balancer's request for a call with a route.
 func (c *call) objectRequest() balance.ObjectRequest {
-	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried, Ordered: c.service.Ordered}
+	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried, Ordered: c.service.Ordered, Reserved: c.reserved, Crowded: c.crowded}
 	if c.Route.Affinity && c.Object != "" {
 		req.Object = balance.HashObject(c.Route.Name, c.Object)
 	} else {
--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -124,7 +124,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p.dispatch(now, state)
-	choice, err := p.pickObject(now, cl, state)
+	choice, err := p.pickInOrder(now, cl, state)
 	if err == nil {
 		q.queue.Sent(now, r.Rank)
 	}
@@ -163,7 +163,7 @@
 		return
 	}
 	for _, w := range slices.Collect(q.Order(now)) {
-		choice, err := p.pickObject(now, w.Value.cl, state)
+		choice, err := p.pickInOrder(now, w.Value.cl, state)
 		if isFull(err) {
 			continue
 		}
@@ -176,6 +176,14 @@
 	}
 }
 
+// pickInOrder picks an upstream for a call, which leaves places to more urgent ones. The lock of the
+// queue must be held.
+func (p *Proxy) pickInOrder(now time.Time, cl *call, state *serviceState) (balance.Choice, error) {
+	q := &state.ordered.queue
+	cl.reserved, cl.crowded = q.Reserved(now, cl.rank), q.Len() > 0
+	return p.pickObject(now, cl, state)
+}
+
 // pickResult returns the result of a pick that did not fail for want of room.
 func (p *Proxy) pickResult(choice balance.Choice, err error) pickResult {
 	var limit *balance.LimitError
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -18,8 +18,13 @@
 	// excessFactor is how many times as long as it may a waiting request must be expected to wait to
 	// be refused. Requests of which that is unclear keep their place.
 	excessFactor = 1.5
+	// maxReserved is the part of the places behind the slots of an upstream that requests of the least
+	// urgent rank leave to more urgent ones.
+	maxReserved = 1.0
 	// maxWaiting bounds the memory of a queue.
 	maxWaiting = 4096
+	// minActive is the number of recent arrivals from which other ranks leave places to a rank.
+	minActive = 0.5
 	// idleRankTime is the time after which a rank without requests is forgotten.
 	idleRankTime = 10 * rateWindow
 	// maxRetryAfter is the longest time after which a refused request is asked to return.
@@ -70,6 +75,7 @@
 	// waiters are ordered by Latest.
 	waiters  []*Waiter[T]
 	arrivals decayed
+	sends    decayed
 	lastSeen time.Time
 	// owed is the number of sends by which the rank lags behind its guaranteed part.
 	owed  float64
@@ -148,10 +154,9 @@
 	pace := q.pace.perSecond(now, expected)
 	all, urgent := 0.0, 0.0
 	for _, other := range q.ranks {
-		rate := other.arrivals.perSecond(now)
-		all += rate
+		all += other.arrivals.perSecond(now)
 		if other.rank < s.rank {
-			urgent += rate
+			urgent += other.sends.perSecond(now)
 		}
 	}
 	guaranteed := 0.0
@@ -203,6 +208,7 @@
 // countSent counts a send and divides what it makes owed.
 func (q *Queue[T]) countSent(now time.Time, s *rankState[T]) {
 	s.stats.Sent++
+	s.sends.add(now, 1)
 	if q.waiting > 0 {
 		q.pace.sent.add(now, 1)
 	}
@@ -218,6 +224,30 @@
 	s.owed = max(-maxOwed, s.owed-1)
 }
 
+// Reserved returns the part of the places behind the slots of an upstream, from 0 to 1, that requests of
+// a rank leave to more urgent ones. Entries learn late of the requests of others; without places kept
+// free, the most urgent requests would wait for those that less urgent ones of other entries take.
+func (q *Queue[T]) Reserved(now time.Time, rank int) float64 {
+	s := q.state(now, rank)
+	if s.owed >= 1 {
+		return 0
+	}
+	urgent, active := 0, 0
+	for _, other := range q.ranks {
+		if other != s && other.arrivals.value(now) < minActive {
+			continue
+		}
+		active++
+		if other.rank < rank {
+			urgent++
+		}
+	}
+	if active < 2 {
+		return 0
+	}
+	return maxReserved * float64(urgent) / float64(active-1)
+}
+
 // Shortage reports whether the service is short of room: whether requests have recently been refused for
 // want of it. changed is set on the first call after a change.
 func (q *Queue[T]) Shortage(now time.Time) (short, changed bool) {
