--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -15,6 +15,9 @@
 	// maxOwed is the largest number of sends by which a rank may lag behind that part, and by which
 	// one that is ahead of it counts as ahead.
 	maxOwed = 2.0
+	// waitShare is the largest part of the time that a request may wait for which it may be expected to
+	// wait. Waits vary, since each object has only a few upstreams.
+	waitShare = 0.5
 	// excessFactor is how many times as long as it may a waiting request must be expected to wait to
 	// be refused. Requests of which that is unclear keep their place.
 	excessFactor = 1.5
@@ -139,7 +142,7 @@
 		}
 	}
 	wait := q.expectedWait(now, s, ahead, own, expected)
-	if q.waiting < maxWaiting && (ahead == 0 || !now.Add(wait).After(latest)) {
+	if q.waiting < maxWaiting && (ahead == 0 || float64(wait) <= waitShare*float64(latest.Sub(now))) {
 		return Verdict{}
 	}
 	s.stats.RefusedAtOnce++
@@ -163,16 +166,16 @@
 	if all > 0 {
 		guaranteed = pace * guaranteedPart * s.arrivals.perSecond(now) / all
 	}
-	seconds := min(timeFor(ahead, pace-urgent), timeFor(own, guaranteed))
+	seconds := min(timeFor(ahead, pace-urgent), timeFor(own+1, guaranteed))
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
-// timeFor returns the seconds until a request is sent that has n others ahead of it.
+// timeFor returns the seconds until n requests are sent.
 func timeFor(n int, perSecond float64) float64 {
 	if perSecond <= 0 {
 		return math.Inf(1)
 	}
-	return float64(n+1) / perSecond
+	return float64(n) / perSecond
 }
 
 // Push adds a request that waits.
