overload: ranks that find room together with all more urgent ones leave no places

A middle rank left places to the most urgent one also where both together asked for half of the room.

--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -59,7 +59,7 @@
 func (p *Proxy) acquireInOrder(ctx context.Context, now time.Time, cl *call, state *serviceState) (balance.Choice, *verdict.Error) {
 	outlook := state.balancer.Outlook(now, cl.objectRequest())
 	r := cl.overloadRequest(outlook.Work)
-	if verr := p.passGate(now, cl, state, r); verr != nil {
+	if verr := p.passGate(now, cl, state, r, outlook.PerSecond); verr != nil {
 		return balance.Choice{}, verr
 	}
 	w, result := p.pickOrWait(now, cl, state, r, outlook)
@@ -72,7 +72,7 @@
 	case result = <-w.Value.result:
 	case <-timer.C:
 		result = p.endWait(state, w, overload.WaitedInVain, func(now time.Time) *verdict.Error {
-			retryAfter := state.ordered.queue.RetryAfter(now, w.Rank, outlook.PerSecond)
+			retryAfter := state.ordered.queue.RetryAfter(now, w.Rank)
 			return verdict.New(verdict.NotRun, reasonNoSlot, nil).WithRetryAfter(p.spreadRetryAfter(retryAfter))
 		})
 	case <-ctx.Done():
@@ -97,14 +97,14 @@
 }
 
 // passGate asks the service's gate about a call, once for each call.
-func (p *Proxy) passGate(now time.Time, cl *call, state *serviceState, r overload.Request) *verdict.Error {
+func (p *Proxy) passGate(now time.Time, cl *call, state *serviceState, r overload.Request, expected float64) *verdict.Error {
 	if cl.passedGate {
 		return nil
 	}
 	cl.passedGate = true
 	q := &state.ordered
 	q.mu.Lock()
-	q.queue.Arrive(now, r.Rank)
+	q.queue.Arrive(now, r.Rank, expected)
 	gate := q.gate
 	q.mu.Unlock()
 	if gate == nil {
@@ -132,14 +132,14 @@
 		return nil, p.pickResult(choice, err)
 	}
 	latest := latestStart(r, outlook)
-	v := q.queue.Admit(now, r, latest, outlook.PerSecond)
+	v := q.queue.Admit(now, r, latest)
 	p.logShortage(now, cl.service.Name, q)
 	if v.Refused {
 		return nil, pickResult{err: verdict.New(verdict.NotRun, reasonLate, err).WithRetryAfter(p.spreadRetryAfter(v.RetryAfter))}
 	}
 	w := q.queue.Push(now, r, latest, &waitingCall{cl, make(chan pickResult, 1)})
-	for _, excess := range q.queue.Excess(now, outlook.PerSecond) {
-		retryAfter := p.spreadRetryAfter(q.queue.RetryAfter(now, excess.Rank, outlook.PerSecond))
+	for _, excess := range q.queue.Excess(now) {
+		retryAfter := p.spreadRetryAfter(q.queue.RetryAfter(now, excess.Rank))
 		q.queue.Leave(now, excess, overload.LetPast)
 		excess.Value.result <- pickResult{err: verdict.New(verdict.NotRun, reasonLate, err).WithRetryAfter(retryAfter)}
 	}
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -21,9 +21,9 @@
 	// excessFactor is how many times as long as it may a waiting request must be expected to wait to
 	// be refused. Requests of which that is unclear keep their place.
 	excessFactor = 1.5
-	// maxReserved is the part of the places behind the slots of an upstream that requests of the least
-	// urgent rank leave to more urgent ones.
-	maxReserved = 1.0
+	// reserveFrom is the part of the pace for which a rank and all more urgent ones together must ask so
+	// that the rank leaves places to the others; it leaves all that it should from the whole pace on.
+	reserveFrom = 0.6
 	// maxWaiting bounds the memory of a queue.
 	maxWaiting = 4096
 	// minActive is the number of recent arrivals from which other ranks leave places to a rank.
@@ -66,6 +66,8 @@
 	waiting int
 	seq     uint64
 	pace    pace
+	// expected is the pace to be expected as far as it is not measured.
+	expected float64
 	// refusedAt is when a request was last refused for want of room, and short is set while the
 	// service counts as short of room.
 	refusedAt time.Time
@@ -119,17 +121,18 @@
 	return out
 }
 
-// Arrive counts a request that asks for a slot for the first time.
-func (q *Queue[T]) Arrive(now time.Time, rank int) {
+// Arrive counts a request that asks for a slot for the first time. expected is the number of requests per
+// second that the entry can be expected to send as long as that is not measured.
+func (q *Queue[T]) Arrive(now time.Time, rank int, expected float64) {
+	q.expected = expected
 	s := q.state(now, rank)
 	s.arrivals.add(now, 1)
 	s.stats.Asked++
 }
 
-// Admit decides whether a request that found no slot may wait. expected is the number of requests
-// per second that the entry can be expected to send as long as that is not measured. It refuses a
-// request that would miss its objective; RetryAfter is then when its turn would come.
-func (q *Queue[T]) Admit(now time.Time, r Request, latest time.Time, expected float64) Verdict {
+// Admit decides whether a request that found no slot may wait. It refuses
+// one that would miss its objective; RetryAfter is then when its turn would come.
+func (q *Queue[T]) Admit(now time.Time, r Request, latest time.Time) Verdict {
 	s := q.state(now, r.Rank)
 	if len(s.waiters) == 0 && s.owed >= 1 {
 		return Verdict{}
@@ -141,7 +144,7 @@
 			ahead += len(other.inTime(now))
 		}
 	}
-	wait := q.expectedWait(now, s, ahead, own, expected)
+	wait := q.expectedWait(now, s, ahead, own)
 	if q.waiting < maxWaiting && (ahead == 0 || float64(wait) <= waitShare*float64(latest.Sub(now))) {
 		return Verdict{}
 	}
@@ -153,8 +156,8 @@
 // expectedWait returns the time until a request of a rank is sent that has ahead others before it, own
 // of them of its rank. Requests of more urgent ranks that arrive meanwhile are let past, apart from the
 // rank's guaranteed part.
-func (q *Queue[T]) expectedWait(now time.Time, s *rankState[T], ahead, own int, expected float64) time.Duration {
-	pace := q.pace.perSecond(now, expected)
+func (q *Queue[T]) expectedWait(now time.Time, s *rankState[T], ahead, own int) time.Duration {
+	pace := q.pace.perSecond(now, q.expected)
 	all, urgent := 0.0, 0.0
 	for _, other := range q.ranks {
 		all += other.arrivals.perSecond(now)
@@ -229,13 +232,15 @@
 
 // Reserved returns the part of the places behind the slots of an upstream, from 0 to 1, that requests of
 // a rank leave to more urgent ones. Entries learn late of the requests of others; without places kept
-// free, the most urgent requests would wait for those that less urgent ones of other entries take.
+// free, the most urgent requests would wait for those that less urgent ones of other entries take. Ranks
+// that find room together with all more urgent ones leave none.
 func (q *Queue[T]) Reserved(now time.Time, rank int) float64 {
 	s := q.state(now, rank)
 	if s.owed >= 1 {
 		return 0
 	}
 	urgent, active := 0, 0
+	asked := 0.0
 	for _, other := range q.ranks {
 		if other != s && other.arrivals.value(now) < minActive {
 			continue
@@ -244,11 +249,15 @@
 		if other.rank < rank {
 			urgent++
 		}
+		if other.rank <= rank {
+			asked += other.arrivals.perSecond(now)
+		}
 	}
-	if active < 2 {
+	if urgent == 0 {
 		return 0
 	}
-	return maxReserved * float64(urgent) / float64(active-1)
+	load := asked / q.pace.perSecond(now, q.expected)
+	return min(1, max(0, (load-reserveFrom)/(1-reserveFrom))) * float64(urgent) / float64(active-1)
 }
 
 // Shortage reports whether the service is short of room: whether requests have recently been refused for
@@ -332,13 +341,13 @@
 
 // Excess returns the waiting requests that others will probably keep from being sent in time, so that
 // they are better refused now.
-func (q *Queue[T]) Excess(now time.Time, expected float64) []*Waiter[T] {
+func (q *Queue[T]) Excess(now time.Time) []*Waiter[T] {
 	var excess []*Waiter[T]
 	ahead := 0
 	for _, s := range q.ranks {
 		own := 0
 		for _, w := range s.inTime(now) {
-			wait := q.expectedWait(now, s, ahead+own, own, expected)
+			wait := q.expectedWait(now, s, ahead+own, own)
 			if ahead+own > 0 && s.owed < 1 && float64(wait) > excessFactor*float64(w.Latest.Sub(now)) {
 				excess = append(excess, w)
 				continue
@@ -352,7 +361,7 @@
 
 // RetryAfter returns the time after which a request of a rank would find its turn if it came behind
 // those that wait now.
-func (q *Queue[T]) RetryAfter(now time.Time, rank int, expected float64) time.Duration {
+func (q *Queue[T]) RetryAfter(now time.Time, rank int) time.Duration {
 	s := q.state(now, rank)
 	ahead := 0
 	for _, other := range q.ranks {
@@ -360,7 +369,7 @@
 			ahead += len(other.inTime(now))
 		}
 	}
-	return q.expectedWait(now, s, ahead, len(s.inTime(now)), expected)
+	return q.expectedWait(now, s, ahead, len(s.inTime(now)))
 }
 
 // state returns the state of a rank, which it creates if needed. It forgets ranks without requests.
