--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -123,6 +123,7 @@
 	q := &state.ordered
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	p.logShortage(now, cl.service.Name, q)
 	p.dispatch(now, state)
 	choice, err := p.pickInOrder(now, cl, state)
 	if err == nil {
@@ -133,7 +134,6 @@
 	}
 	latest := latestStart(r, outlook)
 	v := q.queue.Admit(now, r, latest)
-	p.logShortage(now, cl.service.Name, q)
 	if v.Refused {
 		return nil, pickResult{err: verdict.New(verdict.NotRun, reasonLate, err).WithRetryAfter(p.spreadRetryAfter(v.RetryAfter))}
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -95,7 +95,8 @@
 	// their timeout, attempts and priority, rather than by the service's name.
 	Routed bool
 	// Ordered is set if requests of different urgency compete for the upstreams of a routed service:
-	// its routes differ in priority or objective, or an organisation has a priority of its own.
+	// its routes differ in priority or objective, or an organisation has a priority of its own, and its
+	// upstreams tell their slots.
 	// Requests then wait for an upstream in the order of their urgency.
 	Ordered bool
 	// HealthPath is the HTTP path of the upstreams' health check.
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -192,7 +192,6 @@
 	ordered := orderedServices(in.Config)
 	for name, c := range in.Config.Services {
 		s.Services[name] = routedService(name, c, in, s.Advertised)
-		s.Services[name].Ordered = ordered[name]
 	}
 	s.allocateUpstreams(in.Upstreams)
 	for i := range in.Upstreams {
@@ -206,8 +205,9 @@
 		}
 	}
 	slices.Sort(s.Regions[1:])
-	for _, svc := range s.Services {
+	for name, svc := range s.Services {
 		svc.Overflow = s.Regions[1:]
+		svc.Ordered = ordered[name] && slices.ContainsFunc(svc.Upstreams, func(u Upstream) bool { return u.Slots > 0 })
 	}
 	return s
 }
