Merge order: one gate for requests that wait in order and those that don't

The gate is asked before an upstream is picked, also where requests don't wait in order; arrivals count in the ordered queue after it.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -38,6 +38,9 @@
 	if verr := p.admitFairly(now, cl, state); verr != nil {
 		return balance.Choice{}, verr
 	}
+	if svc.Ordered {
+		return p.acquireInOrder(ctx, now, cl, state)
+	}
 	if svc.Routed {
 		return p.acquireForObject(ctx, now, cl, state, regions[0])
 	}
--- a/internal/forward/fairshare.go
+++ b/internal/forward/fairshare.go
@@ -46,11 +46,11 @@
 // admitFairly asks the service's gate about a call, once for each call. It returns the refusal of a
 // call whose rank or organisation has used up its part of the room.
 func (p *Proxy) admitFairly(now time.Time, cl *call, state *serviceState) *verdict.Error {
-	if cl.Route == nil || cl.passedFairShare || !state.fair.gate.Active() {
+	if cl.Route == nil || cl.passedGate || state.admitsAll() {
 		return nil
 	}
-	cl.passedFairShare = true
-	v := state.fair.gate.Admit(now, overload.Request{
+	cl.passedGate = true
+	v := state.gate.Admit(now, overload.Request{
 		Rank: priorityOf(&cl.RequestInfo), Organisation: organisationOf(cl), Arrived: cl.start, Deadline: cl.deadline,
 		Objective: cl.Route.Objective, Work: state.balancer.MeanServiceTime(cl.Route.Name),
 	})
@@ -63,6 +63,11 @@
 	return verdict.New(verdict.NotRun, reasonOverFairShare, nil).WithRetryAfter(v.RetryAfter)
 }
 
+// admitsAll reports whether the gate needn't be asked now.
+func (state *serviceState) admitsAll() bool {
+	return state.gate == state.fair.gate && !state.fair.gate.Active()
+}
+
 // updateFairShares makes new plans for the services that are short of room.
 func (p *Proxy) updateFairShares(now time.Time) {
 	snap := p.snap.Load()
@@ -93,7 +98,7 @@
 	if p.demand.Entries(name, now) < min(2, len(entriesOf(snap))) {
 		return fairshare.Input{}
 	}
-	in := fairshare.Input{Room: state.balancer.Room(now), Rows: p.demand.Rows(name, now), ReportedAt: now}
+	in := fairshare.Input{Room: state.balancer.Room(now), Waiting: state.waiting(), Ordered: snap.Services[name].Ordered, Rows: p.demand.Rows(name, now), ReportedAt: now}
 	if snap.Organisations != nil {
 		in.Organisations = len(snap.Organisations.All())
 	}
@@ -130,3 +135,10 @@
 	}
 	return names
 }
+
+// waiting returns the number of requests that wait at this entry for an upstream.
+func (state *serviceState) waiting() int {
+	state.ordered.mu.Lock()
+	defer state.ordered.mu.Unlock()
+	return state.ordered.queue.Len()
+}
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -189,6 +189,7 @@
 		Advertised:    Advertised(in.Members),
 		Regions:       []string{in.Region},
 	}
+	ordered := orderedServices(in.Config)
 	for name, c := range in.Config.Services {
 		s.Services[name] = routedService(name, c, in, s.Advertised)
 	}
@@ -204,12 +205,34 @@
 		}
 	}
 	slices.Sort(s.Regions[1:])
-	for _, svc := range s.Services {
+	for name, svc := range s.Services {
 		svc.Overflow = s.Regions[1:]
+		svc.Ordered = ordered[name] && slices.ContainsFunc(svc.Upstreams, func(u Upstream) bool { return u.Slots > 0 })
 	}
 	return s
 }
 
+// orderedServices returns the services whose requests differ in urgency; see Service.Ordered.
+func orderedServices(c *Config) map[string]bool {
+	type urgency struct {
+		priority  int
+		objective time.Duration
+	}
+	ownPriority := slices.ContainsFunc(c.Organisations.All(), func(o *Organisation) bool { return o.Priority != PriorityFromRoute })
+	first := make(map[string]urgency)
+	ordered := make(map[string]bool)
+	for _, r := range c.Routes {
+		u := urgency{r.Priority, r.Objective}
+		for _, s := range r.Services {
+			if was, ok := first[s.Service]; ownPriority || ok && was != u {
+				ordered[s.Service] = true
+			}
+			first[s.Service] = u
+		}
+	}
+	return ordered
+}
+
 // allocateUpstreams allocates the lists of the services' upstreams, which would otherwise be copied
 // several times while they grow.
 func (s *Snapshot) allocateUpstreams(all []Upstream) {
