fairshare: plans are made from the mean work of all entries; the tests' organisations compete at real nodes

Cause: entries measured work from few requests each, 120 to 350 ms for the same service, so that their parts differed: one entry granted nine organisations everything, another a third.

Change: the mean work over all entries, which they report, replaces the work that each measures. Where organisations of one rank compete, fewer requests are meant to wait than where ranks do, since the ordered wait doesn't tell organisations apart. A rank keeps 0.4 of the overall part.

Conclusion: work that differs by rank is no longer told apart; the correction of the room covers the mean.

--- a/internal/balance/service_time.go
+++ b/internal/balance/service_time.go
@@ -24,8 +24,6 @@
 	// unknown holds the mean service time at other upstreams, by their rank among the object's
 	// replicas.
 	unknown [replicas]time.Duration
-	// mean is the mean service time over all of these.
-	mean time.Duration
 	// meanBytes is the mean size of a request and its answer together.
 	meanBytes float64
 }
@@ -59,17 +57,6 @@
 	return 0
 }
 
-// MeanServiceTime returns the mean service time of a class of requests, without waiting for a slot; 0
-// if none has been measured.
-func (b *Balancer) MeanServiceTime(class string) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t := b.classes[class]; t != nil {
-		return t.mean
-	}
-	return 0
-}
-
 // classStats returns the statistics of a class, which it creates if needed.
 func (b *Balancer) classStats(class string) *classStats {
 	t := b.classes[class]
@@ -128,7 +115,6 @@
 		u.recordRelativeTime(float64(took) / float64(*mean))
 	}
 	updateMean(mean, took)
-	updateMean(&t.mean, took)
 	updateMean(&b.meanServiceTime, took)
 	b.measuredWork += took
 	b.measuredRequests++
--- a/internal/fairshare/estimate.go
+++ b/internal/fairshare/estimate.go
@@ -14,15 +14,15 @@
 	// meantPerSlot is the number of requests per slot, running and waiting, that corrections aim at.
 	// Each request can only go to a few upstreams: with less waiting, some slots are idle while others
 	// have queues.
-	meantPerSlot = 1.3
-	// meantOrdered is the same where requests wait at entries in the order of their ranks: then a longer
-	// wait does not cost the urgent ones.
-	meantOrdered = 1.8
+	meantPerSlot = 1.2
+	// meantOrdered is the same where requests wait at entries in the order of their ranks and their
+	// organisations need not be told apart: then a longer wait costs only those that ask for too much.
+	meantOrdered = 2.2
 	// beginUtilisation is the number of requests per slot from which the demand may exceed the room.
 	beginUtilisation = 0.95
 	// queuedUtilisation is the number of requests per slot from which there is no room whatever the
 	// estimated demand.
-	queuedUtilisation = 2.5
+	queuedUtilisation = 2
 	// endUtilisation is the occupied part of the slots below which there is room whatever the
 	// estimated demand, and endDemand the demand, as a part of the room, from which there is room.
 	endUtilisation = 0.5
--- a/internal/fairshare/fleet_test.go
+++ b/internal/fairshare/fleet_test.go
@@ -184,9 +184,8 @@
 	if f.rng.Float64() < coldPart {
 		work = coldWork
 	}
-	mean := time.Duration(f.workKnown * poolSlots / meanRate * float64(time.Second))
 	v := f.gates[entry].Admit(now, overload.Request{
-		Rank: r.rank, Organisation: r.organisation, Arrived: now, Deadline: r.start.Add(callerTime), Objective: r.objective, Work: mean,
+		Rank: r.rank, Organisation: r.organisation, Arrived: now, Deadline: r.start.Add(callerTime), Objective: r.objective,
 	})
 	if v.Refused || f.busy+len(f.waiting) >= maxPerSlot*poolSlots {
 		f.refuse(r, v)
@@ -532,7 +531,7 @@
 func TestPartsAreExact(t *testing.T) {
 	g := NewGate(1)
 	now := fleetStart
-	g.apply(now, Plan{Parts: map[Key]float64{{0, 0}: 0.5, {0, 1}: 0.25}, LastRank: 5})
+	g.apply(now, Plan{Parts: map[Key]float64{{0, 0}: 0.5, {0, 1}: 0.25}, LastRank: 5}, warmWork)
 	for organisation, every := range map[uint32]int{0: 2, 77: 2, 1: 4} {
 		admitted := 0
 		for range 100 * every {
--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -15,8 +15,6 @@
 	// planTTL is how long a plan stays in force without an update, and how old the demand may be that
 	// it is made from. Without a plan all requests are admitted.
 	planTTL = time.Second
-	// workWeight is the weight of a request in the mean work of its rank.
-	workWeight = 0.05
 	// arrivalWeight is the weight of an update in the mean rates of arrivals.
 	arrivalWeight = 0.25
 	// waitingWeight is the weight of an update in the mean number of waiting requests.
@@ -66,8 +64,6 @@
 	mu      sync.Mutex
 	returns returns
 	usual   usualTime
-	// work is the mean work of its requests; 0 before the first.
-	work time.Duration
 	// arrivals counts the requests since the last update. own and fleet are the mean rates at this
 	// entry and at all entries, per second.
 	arrivals   float64
@@ -154,19 +150,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.arrivals++
-	if r.Work > 0 {
-		updateMean(&s.work, r.Work)
-	}
 	return s.usual.elapsed(r.Objective, left)
 }
 
-func updateMean(mean *time.Duration, sample time.Duration) {
-	if *mean == 0 {
-		*mean = sample
-	}
-	*mean += time.Duration(workWeight * float64(sample-*mean))
-}
-
 // takeKept reports whether room is kept for a request because it is a promised return, or because
 // promised returns did not come.
 func (s *rankState) takeKept(now time.Time, elapsed time.Duration) (returned, spare bool) {
@@ -186,6 +172,8 @@
 
 // Input is what a plan is made from.
 type Input struct {
+	// Room is the room of the service. Its Work must be the mean over all entries: parts differ between
+	// entries otherwise.
 	Room balance.Room
 	// Waiting is the number of requests that wait at this entry for an upstream.
 	Waiting int
@@ -216,7 +204,7 @@
 	}
 	in.Room.Busy += g.waitingAtAll(in.Waiting)
 	g.estimate.meant = meantPerSlot
-	if in.Ordered {
+	if in.Ordered && !organisationsCompete(claims) {
 		g.estimate.meant = meantOrdered
 	}
 	room := g.estimate.update(in.Room.Slots, in.Room.Busy, demand)
@@ -234,7 +222,7 @@
 	if in.Room.Busy >= queuedUtilisation*in.Room.Slots {
 		plan.Returns = nil
 	}
-	g.apply(now, plan)
+	g.apply(now, plan, in.Room.Work)
 	return true, !was
 }
 
@@ -264,6 +252,18 @@
 	return false
 }
 
+// organisationsCompete reports whether several organisations send requests of one rank.
+func organisationsCompete(claims []Claim) bool {
+	first := make(map[int]uint32)
+	for _, c := range claims {
+		if o, ok := first[c.Rank]; ok && o != c.Organisation {
+			return true
+		}
+		first[c.Rank] = c.Organisation
+	}
+	return false
+}
+
 // watch lets the gate learn how much time requests have left, so that returns are told from first
 // attempts once room is short. All requests are admitted.
 func (g *Gate) watch(now time.Time, claims []Claim) {
@@ -283,7 +283,7 @@
 			continue
 		}
 		rates[row.Rank] += row.Arrived
-		claims = append(claims, Claim{Key{row.Rank, row.Organisation}, row.Arrived * g.work(row.Rank, in.Room.Work).Seconds()})
+		claims = append(claims, Claim{Key{row.Rank, row.Organisation}, row.Arrived * in.Room.Work.Seconds()})
 	}
 	for rank, rate := range rates {
 		g.rank(rank).measure(rate)
@@ -291,17 +291,6 @@
 	return claims
 }
 
-// work returns the mean work of the requests of a rank, or that of all requests before the first.
-func (g *Gate) work(rank int, mean time.Duration) time.Duration {
-	s := g.rank(rank)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.work > 0 {
-		return s.work
-	}
-	return mean
-}
-
 func (g *Gate) rank(rank int) *rankState {
 	s := g.ranks[rank]
 	if s == nil {
@@ -321,8 +310,8 @@
 	s.arrivals = 0
 }
 
-// apply puts a plan into force.
-func (g *Gate) apply(now time.Time, plan Plan) {
+// apply puts a plan into force. work is the mean work of a request.
+func (g *Gate) apply(now time.Time, plan Plan, work time.Duration) {
 	active := &activePlan{
 		lanes: make(map[Key]*lane, len(plan.Parts)), ranks: make(map[int]*rankState),
 		last: plan.LastRank, until: now.Add(planTTL),
@@ -336,7 +325,7 @@
 		active.ranks[key.Rank] = g.rank(key.Rank)
 	}
 	for rank, s := range active.ranks {
-		s.setReturns(plan.Returns[rank], now)
+		s.setReturns(plan.Returns[rank], work, now)
 	}
 	g.dropLanes(active.lanes)
 	g.plan.Store(active)
@@ -344,12 +333,12 @@
 
 // setReturns sets the slots that all entries keep for returns. This entry keeps its part of the
 // arrivals of them.
-func (s *rankState) setReturns(slots float64, now time.Time) {
+func (s *rankState) setReturns(slots float64, work time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rate := 0.0
-	if s.fleet > 0 && s.work > 0 {
-		rate = slots / s.work.Seconds() * min(1, s.own/s.fleet)
+	if s.fleet > 0 && work > 0 {
+		rate = slots / work.Seconds() * min(1, s.own/s.fleet)
 	}
 	s.returns.setRate(rate, now)
 }
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -12,8 +12,9 @@
 
 const (
 	// floorShare is the least part of its demand that a rank is granted, relative to the part that
-	// all ranks together are granted, so that no rank starves.
-	floorShare = 1.0 / 3
+	// all ranks together are granted, so that no rank starves. Some of what is granted is still refused
+	// for want of a slot in time, most of it of the least urgent rank.
+	floorShare = 0.4
 	// returnShare is the part of the room that is kept for the returns of refused callers.
 	returnShare = 0.05
 	// maxOrganisations is the number of organisations of a service that are told apart, the ones with
--- a/internal/forward/fairshare.go
+++ b/internal/forward/fairshare.go
@@ -52,7 +52,7 @@
 	cl.passedGate = true
 	v := state.gate.Admit(now, overload.Request{
 		Rank: priorityOf(&cl.RequestInfo), Organisation: organisationOf(cl), Arrived: cl.start, Deadline: cl.deadline,
-		Objective: cl.Route.Objective, Work: state.balancer.MeanServiceTime(cl.Route.Name),
+		Objective: cl.Route.Objective,
 	})
 	switch {
 	case !v.Refused:
@@ -95,10 +95,13 @@
 	if !state.fair.enabled.Load() || !state.balancer.Pressed(now) {
 		return fairshare.Input{}
 	}
-	if p.demand.Entries(name, now) < min(2, len(entriesOf(snap))) {
+	sum := p.demand.Summary(name, now)
+	if sum.Entries < min(2, len(entriesOf(snap))) {
 		return fairshare.Input{}
 	}
-	in := fairshare.Input{Room: state.balancer.Room(now), Waiting: state.waiting(), Ordered: snap.Services[name].Ordered, Rows: p.demand.Rows(name, now), ReportedAt: now}
+	room := state.balancer.Room(now)
+	room.Work = time.Duration(sum.Work.Mean() * float64(time.Second))
+	in := fairshare.Input{Room: room, Waiting: state.waiting(), Ordered: snap.Services[name].Ordered, Rows: sum.Rows, ReportedAt: now}
 	if snap.Organisations != nil {
 		in.Organisations = len(snap.Organisations.All())
 	}
