--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -200,6 +200,11 @@
 	// measuredWork is the time for which measuredRequests requests held slots since TakeWork.
 	measuredWork     time.Duration
 	measuredRequests int
+	// lastRoom is the room as of lastRoomAt; fullUntil is the time until which the service counts as
+	// nearly full.
+	lastRoom   Room
+	lastRoomAt time.Time
+	fullUntil  time.Time
 	// pressedUntil is the time until which the demand for the service is reported; see Pressed.
 	pressedUntil time.Time
 
--- a/internal/balance/late.go
+++ b/internal/balance/late.go
@@ -161,9 +161,9 @@
 
 // Outlook returns what a request can expect if it waits at the entry.
 func (b *Balancer) Outlook(now time.Time, req ObjectRequest) Outlook {
-	room := b.Room(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	room := b.recentRoom(now)
 	work := b.warmWork(req)
 	o := Outlook{Work: work, Response: work + time.Duration((orderedPerSlot(work)-1)*float64(work)) + b.roundTrip[b.region]}
 	if mean := cmp.Or(room.Work, work); mean > 0 {
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -36,6 +36,34 @@
 	return r
 }
 
+const (
+	// nearlyFull is the share of the slots in use from which single upstreams are full at most times, so
+	// that it matters who waits where. nearlyFullFor is the time for which that is remembered, since
+	// requests come in clumps.
+	nearlyFull    = 0.8
+	nearlyFullFor = time.Second
+	// roomMaxAge is the time for which a measurement of the room is used again.
+	roomMaxAge = 50 * time.Millisecond
+)
+
+// NearlyFull reports whether nearly all slots of the service are taken, or were within the last second.
+func (b *Balancer) NearlyFull(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if room := b.recentRoom(now); room.Slots > 0 && room.Busy >= nearlyFull*room.Slots {
+		b.fullUntil = now.Add(nearlyFullFor)
+	}
+	return now.Before(b.fullUntil)
+}
+
+// recentRoom returns the result of Room, at most roomMaxAge old.
+func (b *Balancer) recentRoom(now time.Time) Room {
+	if age := now.Sub(b.lastRoomAt); age < 0 || age >= roomMaxAge {
+		b.lastRoom, b.lastRoomAt = b.room(now), now
+	}
+	return b.lastRoom
+}
+
 const (
 	// pressureThreshold is the share of a region's slots in use from which all entries need to know
 	// the demand for the service: it leaves time to act before the region is full.
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -35,7 +35,10 @@
 	if d.Reason != "" {
 		return balance.Choice{}, verdict.New(verdict.NotRun, string(d.Reason), nil).WithRetryAfter(d.RetryAfter)
 	}
-	if svc.Ordered {
+	if verr := p.admitFairly(now, cl, state); verr != nil {
+		return balance.Choice{}, verr
+	}
+	if cl.ordered = p.needsOrder(now, cl, state); cl.ordered {
 		return p.acquireInOrder(ctx, now, cl, state)
 	}
 	if svc.Routed {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -28,13 +28,17 @@
 	charged bool
 	// admitted is set once the request has got a slot of an upstream.
 	admitted bool
+	// passedGate is set once the gate has admitted the request to its service's room.
+	passedGate bool
 	// attempts is the largest number of attempts for the request.
 	attempts int
 	priority int
 	// rank is the priority of a request with a route, 0 being the most urgent.
 	rank int
-	// passedGate is set once the request has been counted and admitted to its service's room.
-	passedGate bool
+	// arrivalCounted is set once the request has been counted as one that wants room at the upstreams.
+	arrivalCounted bool
+	// ordered is set if the call waits in order for an upstream.
+	ordered bool
 	// reserved is the part of the places at upstreams that the request leaves to more urgent ones.
 	reserved float64
 	// crowded is set if requests for the service wait.
@@ -138,7 +142,7 @@
 
 // objectRequest returns the balancer's request for a call with a route.
 func (c *call) objectRequest() balance.ObjectRequest {
-	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried, Ordered: c.service.Ordered, Reserved: c.reserved, Crowded: c.crowded, Patient: c.patient}
+	req := balance.ObjectRequest{Class: c.Route.Name, Objective: c.Route.Objective, Regions: c.allows, Tried: c.tried, Ordered: c.ordered, Reserved: c.reserved, Crowded: c.crowded, Patient: c.patient}
 	if c.Route.Affinity && c.Object != "" {
 		req.Object = balance.HashObject(c.Route.Name, c.Object)
 	} else {
--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// reasonNoRoom means that the request's part of a service's room is used up.
-	reasonNoRoom = "no-room"
 	// reasonReconsider is the reason of a wait that ended because the configuration changed. It is
 	// not sent to callers.
 	reasonReconsider = "configuration-changed"
@@ -28,10 +26,9 @@
 type orderedQueue struct {
 	mu    sync.Mutex
 	queue overload.Queue[*waitingCall]
+	mix   overload.Mix
 	// rechecking is set while a timer is set that tries the waiting requests again.
 	rechecking bool
-	// gate divides the service's room before; nil admits all.
-	gate overload.Gate
 }
 
 // waitingCall is a call in an orderedQueue.
@@ -59,9 +56,6 @@
 func (p *Proxy) acquireInOrder(ctx context.Context, now time.Time, cl *call, state *serviceState) (balance.Choice, *verdict.Error) {
 	outlook := state.balancer.Outlook(now, cl.objectRequest())
 	r := cl.overloadRequest(outlook.Work)
-	if verr := p.passGate(now, cl, state, r, outlook.PerSecond); verr != nil {
-		return balance.Choice{}, verr
-	}
 	w, result := p.pickOrWait(now, cl, state, r, outlook)
 	if w == nil {
 		return p.finishPick(ctx, state, result)
@@ -96,28 +90,22 @@
 	return r
 }
 
-// passGate asks the service's gate about a call, once for each call.
-func (p *Proxy) passGate(now time.Time, cl *call, state *serviceState, r overload.Request, expected float64) *verdict.Error {
-	if cl.passedGate {
-		return nil
+// needsOrder reports whether a call must wait in order for an upstream: requests of different urgency
+// compete for it, and nearly all slots are taken or others wait already. It counts the call's arrival.
+func (p *Proxy) needsOrder(now time.Time, cl *call, state *serviceState) bool {
+	if !cl.service.Ordered {
+		return false
 	}
-	cl.passedGate = true
 	q := &state.ordered
 	q.mu.Lock()
-	q.queue.Arrive(now, r.Rank, expected)
-	gate := q.gate
-	q.mu.Unlock()
-	if gate == nil {
-		return nil
-	}
-	v := gate.Admit(now, r)
-	if !v.Refused {
-		return nil
-	}
-	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.queue.RefusedByGate(now, r.Rank)
-	return verdict.New(verdict.NotRun, reasonNoRoom, nil).WithRetryAfter(v.RetryAfter)
+	if !cl.arrivalCounted {
+		cl.arrivalCounted = true
+		outlook := state.balancer.Outlook(now, cl.objectRequest())
+		q.queue.Arrive(now, cl.rank, outlook.PerSecond)
+		q.mix.Arrive(now, cl.overloadRequest(outlook.Work))
+	}
+	return q.queue.Len() > 0 || q.mix.Contended(now) && state.balancer.NearlyFull(now)
 }
 
 // pickOrWait picks an upstream for a call after those that come before it, or adds it to the queue. It
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -68,7 +68,7 @@
 	// no entry is known.
 	Peers  func() Peers
 	IsPeer func(entry string, ip netip.Addr) bool
-	// Gate returns what divides the room of a service among its requests; nil admits all.
+	// Gate returns what divides the room of a service among its requests; nil means package fairshare.
 	Gate func(service string) overload.Gate
 	// CapShares holds this entry's shares of the in-flight caps. Its times are read from
 	// BootClock, in nanoseconds.
@@ -160,6 +160,9 @@
 	shedBudget *balance.RetryBudget
 	shift      *shift.Splitter
 	hedges     hedgeCounters
+	// fair divides the room among ranks and organisations; gate is what requests are admitted by.
+	fair *fairShares
+	gate overload.Gate
 }
 
 // New returns a Proxy that rejects all requests until the first Update.
@@ -219,6 +222,7 @@
 			JoinedSince: s.ChangedSince,
 		}, now)
 		p.closeIdle(restarted)
+		state.fair.enabled.Store(svc.Routed && slotsKnown(svc))
 		if svc.Routed {
 			state.budget.SetBurst(svc.RetryBurst)
 		}
@@ -293,10 +297,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if state = p.services[service]; state == nil {
-		state = &serviceState{balancer: balance.NewBalancer(), budget: balance.NewRetryBudget(retryBurst), shedBudget: balance.NewRetryBudget(shedBurst), shift: shift.NewSplitter()}
+		state = &serviceState{balancer: balance.NewBalancer(), budget: balance.NewRetryBudget(retryBurst), shedBudget: balance.NewRetryBudget(shedBurst), shift: shift.NewSplitter(), fair: newFairShares(p.opt.Self)}
 		state.balancer.OnLimitUpdate(p.notifyLimitUpdates)
+		state.gate = state.fair.gate
 		if p.opt.Gate != nil {
-			state.ordered.gate = p.opt.Gate(service)
+			state.gate = p.opt.Gate(service)
 		}
 		p.services[service] = state
 	}
