--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -236,6 +236,9 @@
 		}
 	}
 	f.expectIdle(t)
+	if f.counts().Sent == 0 {
+		t.Error("no second send")
+	}
 	for _, u := range []*fakeUpstream{f.first, f.second} {
 		if s := f.status(t, u); s.Failures != 0 {
 			t.Errorf("%d failures at %s", s.Failures, s.ID)
