overload, fairshare: order only where urgencies differ and the service is full; the gate aims at the wait of the objective

The gate aimed at 1.2 requests a slot whatever the work and the objective, and so refused what would have been in time.

Change: requests wait in order while a tenth of the recent ones differ in rank or objective and the upstreams have as many requests as slots, or others wait. The gate aims at a wait of 0.7 of the time that the shortest objective leaves, 0.25 where organisations of one rank compete.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -201,7 +201,7 @@
 	measuredWork     time.Duration
 	measuredRequests int
 	// lastRoom is the room as of lastRoomAt; fullUntil is the time until which the service counts as
-	// nearly full.
+	// full.
 	lastRoom   Room
 	lastRoomAt time.Time
 	fullUntil  time.Time
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -37,28 +37,28 @@
 }
 
 const (
-	// nearlyFull is the share of the slots in use from which single upstreams are full at most times, so
-	// that it matters who waits where. nearlyFullFor is the time for which that is remembered, since
-	// requests come in clumps.
-	nearlyFull    = 0.8
-	nearlyFullFor = time.Second
-	// roomMaxAge is the time for which a measurement of the room is used again.
-	roomMaxAge = 50 * time.Millisecond
+	// fullFor is the time for which a service counts as full after it was, since requests come in clumps.
+	fullFor = time.Second
+	// roomAgePerUpstream is the time for which a measurement of the room is used again, for each
+	// upstream: with thousands of them it takes as long as a pick.
+	roomAgePerUpstream = 50 * time.Microsecond
 )
 
-// NearlyFull reports whether nearly all slots of the service are taken, or were within the last second.
-func (b *Balancer) NearlyFull(now time.Time) bool {
+// Full reports whether there are as many requests at the upstreams as they have slots, so that it
+// matters who waits where, or were within the last second.
+func (b *Balancer) Full(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if room := b.recentRoom(now); room.Slots > 0 && room.Busy >= nearlyFull*room.Slots {
-		b.fullUntil = now.Add(nearlyFullFor)
+	if room := b.recentRoom(now); room.Slots > 0 && room.Busy >= room.Slots {
+		b.fullUntil = now.Add(fullFor)
 	}
 	return now.Before(b.fullUntil)
 }
 
-// recentRoom returns the result of Room, at most roomMaxAge old.
+// recentRoom returns the result of Room, or an earlier one while it is recent enough.
 func (b *Balancer) recentRoom(now time.Time) Room {
-	if age := now.Sub(b.lastRoomAt); age < 0 || age >= roomMaxAge {
+	maxAge := time.Duration(len(b.upstreams)) * roomAgePerUpstream
+	if age := now.Sub(b.lastRoomAt); age < 0 || age >= maxAge {
 		b.lastRoom, b.lastRoomAt = b.room(now), now
 	}
 	return b.lastRoom
--- a/internal/fairshare/estimate.go
+++ b/internal/fairshare/estimate.go
@@ -11,13 +11,16 @@
 
 	// targetUtilisation is the part of the slots that a plan means to occupy before it is corrected.
 	targetUtilisation = 0.95
-	// meantPerSlot is the number of requests per slot, running and waiting, that corrections aim at.
-	// Each request can only go to a few upstreams: with less waiting, some slots are idle while others
-	// have queues.
-	meantPerSlot = 1.2
-	// meantOrdered is the same where requests wait at entries in the order of their ranks and their
-	// organisations need not be told apart: then a longer wait costs only those that ask for too much.
-	meantOrdered = 2.2
+	// minMeant and maxMeant bound the number of requests per slot, running and waiting, that corrections
+	// aim at. Each request can only go to a few upstreams: with less waiting, some slots are idle while
+	// others have queues.
+	minMeant = 1.2
+	maxMeant = 3.0
+	// waitShare is the part of the time that the objective leaves for waiting that requests should wait
+	// on average: some wait longer. It is less where organisations of one rank compete, since requests
+	// that wait are not told apart by organisation: a long queue favours those who ask for most.
+	waitShare          = 0.7
+	competingWaitShare = 0.25
 	// beginUtilisation is the number of requests per slot from which the demand may exceed the room.
 	beginUtilisation = 0.95
 	// queuedUtilisation is the number of requests per slot from which there is no room whatever the
@@ -47,6 +50,17 @@
 	maxCorrection = 4.0
 )
 
+// meantPerSlot returns the number of requests per slot, running and waiting, at which requests with this
+// much work wait for a share of the time that the objective leaves; 0 stands for an unknown work or no
+// objective.
+func meantPerSlot(work, objective time.Duration, share float64) float64 {
+	if work <= 0 || objective <= 0 {
+		return minMeant
+	}
+	waiting := share * float64(objective-work) / float64(work)
+	return max(minMeant, min(maxMeant, 1+waiting))
+}
+
 // estimate is the estimated room of a service, and whether it is short.
 type estimate struct {
 	// correction is the factor by which the slots that the demand needs are less than its measured work
--- a/internal/fairshare/gate.go
+++ b/internal/fairshare/gate.go
@@ -177,8 +177,8 @@
 	Room balance.Room
 	// Waiting is the number of requests that wait at this entry for an upstream.
 	Waiting int
-	// Ordered is set if requests wait at entries in the order of their ranks, rather than at upstreams.
-	Ordered bool
+	// Objective is the shortest latency objective of the requests; 0 if there is none.
+	Objective time.Duration
 	// Rows is the demand for the service over all entries, ReportedAt the time of the last report in it.
 	Rows       []demand.Row
 	ReportedAt time.Time
@@ -203,10 +203,11 @@
 		return false, was
 	}
 	in.Room.Busy += g.waitingAtAll(in.Waiting)
-	g.estimate.meant = meantPerSlot
-	if in.Ordered && !organisationsCompete(claims) {
-		g.estimate.meant = meantOrdered
+	share := waitShare
+	if organisationsCompete(claims) {
+		share = competingWaitShare
 	}
+	g.estimate.meant = meantPerSlot(in.Room.Work, in.Objective, share)
 	room := g.estimate.update(in.Room.Slots, in.Room.Busy, demand)
 	g.last = Status{Short: g.estimate.short, Slots: in.Room.Slots, Busy: in.Room.Busy, Room: room, Demand: demand, Correction: g.estimate.correction}
 	idle := in.Room.Busy < endUtilisation*in.Room.Slots
--- a/internal/forward/fairshare.go
+++ b/internal/forward/fairshare.go
@@ -101,7 +101,7 @@
 	}
 	room := state.balancer.Room(now)
 	room.Work = time.Duration(sum.Work.Mean() * float64(time.Second))
-	in := fairshare.Input{Room: room, Waiting: state.waiting(), Ordered: snap.Services[name].Ordered, Rows: sum.Rows, ReportedAt: now}
+	in := fairshare.Input{Room: room, Waiting: state.waiting(), Objective: snap.Services[name].Objective, Rows: sum.Rows, ReportedAt: now}
 	if snap.Organisations != nil {
 		in.Organisations = len(snap.Organisations.All())
 	}
--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -91,7 +91,7 @@
 }
 
 // needsOrder reports whether a call must wait in order for an upstream: requests of different urgency
-// compete for it, and nearly all slots are taken or others wait already. It counts the call's arrival.
+// compete for it, and all slots are taken or others wait already. It counts the call's arrival.
 func (p *Proxy) needsOrder(now time.Time, cl *call, state *serviceState) bool {
 	if !cl.service.Ordered {
 		return false
@@ -105,7 +105,7 @@
 		q.queue.Arrive(now, cl.rank, outlook.PerSecond)
 		q.mix.Arrive(now, cl.overloadRequest(outlook.Work))
 	}
-	return q.queue.Len() > 0 || q.mix.Contended(now) && state.balancer.NearlyFull(now)
+	return q.queue.Len() > 0 || q.mix.Contended(now) && state.balancer.Full(now)
 }
 
 // pickOrWait picks an upstream for a call after those that come before it, or adds it to the queue. It
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -94,6 +94,8 @@
 	// Routed is set if requests select the service by a Route, which also holds
 	// their timeout, attempts and priority, rather than by the service's name.
 	Routed bool
+	// Objective is the shortest latency objective of the routes to a routed service; 0 if none has one.
+	Objective time.Duration
 	// Ordered is set if requests of different urgency compete for the upstreams of a routed service:
 	// its routes differ in priority or objective, or an organisation has a priority of its own, and its
 	// upstreams tell their slots.
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -207,11 +207,24 @@
 	slices.Sort(s.Regions[1:])
 	for name, svc := range s.Services {
 		svc.Overflow = s.Regions[1:]
+		svc.Objective = shortestObjective(in.Config.Routes, name)
 		svc.Ordered = ordered[name] && slices.ContainsFunc(svc.Upstreams, func(u Upstream) bool { return u.Slots > 0 })
 	}
 	return s
 }
 
+// shortestObjective returns the shortest latency objective of the routes to a service, 0 if none has one.
+func shortestObjective(routes []*Route, service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, r := range routes {
+		toService := slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service })
+		if toService && r.Objective > 0 && (shortest == 0 || r.Objective < shortest) {
+			shortest = r.Objective
+		}
+	}
+	return shortest
+}
+
 // orderedServices returns the services whose requests differ in urgency; see Service.Ordered.
 func orderedServices(c *Config) map[string]bool {
 	type urgency struct {
--- a/internal/overload/mix.go
+++ b/internal/overload/mix.go
@@ -5,7 +5,10 @@
 const (
 	// minMinority is the part of the requests from which those of other urgency than most need an order.
 	// Below it, letting them past changes little, and waiting in order costs all of them time.
-	minMinority = 0.05
+	minMinority = 0.1
+	// minArrivals is the number of recent requests from which the parts are known. Before, requests are
+	// taken to differ, as their configuration allows.
+	minArrivals = 10
 	// maxUrgencies bounds the urgencies that a Mix tells apart. Further ones are not counted.
 	maxUrgencies = 64
 )
@@ -40,7 +43,7 @@
 }
 
 // Contended reports whether a notable part of the recent requests differs in urgency from the most
-// frequent ones.
+// frequent ones, or too few are known to tell.
 func (m *Mix) Contended(now time.Time) bool {
 	all, most := 0.0, 0.0
 	for _, d := range m.arrivals {
@@ -48,5 +51,5 @@
 		all += n
 		most = max(most, n)
 	}
-	return all-most >= minMinority*all && all > 0
+	return all < minArrivals || all-most >= minMinority*all
 }
