--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -96,11 +96,9 @@
 	Asked  int64 `json:"asked"`
 	Sent   int64 `json:"sent"`
 	Waited int64 `json:"waited"`
-	// RefusedByGate counts requests that the service's gate refused, RefusedAtOnce those refused because
-	// their turn would have come too late, RefusedLater those that were let past and
-	// could no longer be served in time, Expired those that waited as long as they could, and Left
-	// those whose callers left.
-	RefusedByGate int64 `json:"refused_by_gate"`
+	// RefusedAtOnce counts requests refused because their turn would have come too late, RefusedLater
+	// those that were let past and could no longer be served in time, Expired those that waited as long
+	// as they could, and Left those whose callers left.
 	RefusedAtOnce int64 `json:"refused_at_once"`
 	RefusedLater  int64 `json:"refused_later"`
 	Expired       int64 `json:"expired"`
@@ -133,12 +131,6 @@
 	s.stats.Asked++
 }
 
-// RefusedByGate counts a request that the service's gate refused.
-func (q *Queue[T]) RefusedByGate(now time.Time, rank int) {
-	q.state(now, rank).stats.RefusedByGate++
-	q.refusedAt = now
-}
-
 // Admit decides whether a request that found no slot may wait. It refuses
 // one that would miss its objective; RetryAfter is then when its turn would come.
 func (q *Queue[T]) Admit(now time.Time, r Request, latest time.Time) Verdict {
