test/ablate: rows for the parts for hard load

Cause: the new mechanisms had no rows. Change: ten rows. One more, for callers that leave after a later request, was taken out: that test passes with lanes switched off, since the connection is read on either way.

--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -16,6 +16,9 @@
 	pkgQuota    = "./internal/quota"
 	pkgRollout  = "./internal/rollout"
 	pkgReach    = "./internal/reach"
+	pkgPipeline = "./internal/pipeline"
+	pkgFair     = "./internal/fairshare"
+	pkgOverload = "./internal/overload"
 	// pkgRateLimit enforces the limits that upstreams announce.
 	pkgRateLimit = "./internal/ratelimit"
 )
@@ -308,4 +311,24 @@
 		"c.accepts != nil && !c.accepts()", "false", pkgForward, "NotSentAfter", nil},
 	{"the boot clock advances during a suspension of the machine", "internal/bootclock/clock.go",
 		"c.suspended.Store(int64(suspended))", "_ = suspended", pkgForward, "Suspen", nil},
+	{"pipelined requests are served side by side", "internal/pipeline/pipeline.go",
+		"if s.draining.Load() {", "if true {", pkgPipeline, "SideBySide", nil},
+	{"urgent requests are let past", "internal/forward/order.go",
+		"if !cl.service.Ordered {", "if true {", pkgPlatform, "SurgeOfLeastUrgent", nil},
+	{"ranks that hardly differ need no order", "internal/overload/mix.go",
+		"all-most >= minMinority*all", "true", pkgOverload, "TestMix$", nil},
+	{"organisations get parts of too little room", "internal/forward/proxy.go",
+		"state.fair.enabled.Store(svc.Routed && slotsKnown(svc))", "state.fair.enabled.Store(false)", pkgPlatform, "OrganisationThatAsksForAll", nil},
+	{"the next promised return follows the rate", "internal/fairshare/returns.go",
+		"if rate > 0 && q.next.After(now) {", "if false {", pkgFair, "PromisesAfterRateRises", nil},
+	{"arrivals are measured only while they are counted", "internal/fairshare/gate.go",
+		"if !g.Active() {\n\t\treturn claims", "if false {\n\t\treturn claims", pkgFair, "WaitingAfterIdleTime", nil},
+	{"shares of regions follow demand", "internal/balance/shares.go",
+		"p.offsets = next\n", "_ = next\n", pkgBalance, "SharesFollowDemand", nil},
+	{"a second send when the first takes long", "internal/forward/hedge.go",
+		"if after <= 0 {", "if true {", pkgForward, "Second|Hedge", nil},
+	{"probes where upstreams have no health check", "internal/forward/probe.go",
+		"svc.HealthPath == \"\" && p.opt", "false && p.opt", pkgPlatform, "WithoutHealthChecks", nil},
+	{"requests are not held for what the entry's own links did", "internal/forward/poison.go",
+		"d.RetryAfter = min(d.RetryAfter, suspectedRetryAfter)", "_ = suspectedRetryAfter", pkgPlatform, "ResetLinksHoldNoRequests", nil},
 }
