demand, forward, balance, fairshare, overload: comments in plain terms

Cause: comments spoke of entries that hear and know, and of how values were measured. Change: comments only. Conclusion: no behaviour changes.

--- a/internal/balance/slowdown.go
+++ b/internal/balance/slowdown.go
@@ -56,8 +56,8 @@
 	return math.Min(math.Max(x, minSlowdown), maxSlowdown)
 }
 
-// speed returns the speed at which the upstream works, 1 for the usual one: the least of what it
-// reports for now and what was measured over its last requests.
+// speed returns the speed at which the upstream works, 1 for the usual one: the lower of
+// the speed that it reports and that of its recent requests.
 func (u *upstreamState) speed(now time.Time) float64 {
 	slowdown := u.currentSlowdown(now)
 	if u.relativeTime > 0 {
--- a/internal/demand/tracker.go
+++ b/internal/demand/tracker.go
@@ -52,7 +52,7 @@
 // plus returns the sum of two works.
 func (w Work) plus(x Work) Work { return Work{w.Busy + x.Busy, w.Rate + x.Rate} }
 
-// Mean returns the mean time for which a request holds a slot, in seconds; 0 if none was measured.
+// Mean returns the mean time for which a request holds a slot, in seconds; 0 without requests.
 func (w Work) Mean() float64 {
 	if w.Rate <= 0 {
 		return 0
@@ -79,7 +79,7 @@
 	at     time.Time
 }
 
-// NewTracker returns a Tracker that knows of no requests.
+// NewTracker returns a Tracker without requests.
 func NewTracker() *Tracker {
 	return &Tracker{services: make(map[string]*counts), reports: make(map[string]report)}
 }
@@ -285,7 +285,7 @@
 	return sum
 }
 
-// Summary returns the demand for a service over all entries that the own one knows of: what the hub
+// Summary returns the demand for a service over all entries with a report: what the hub
 // reports for all entries, else the sum of the own counts and the reports of other entries. Old
 // reports do not count. The number of entries falls when reports stop to arrive; entries at which the
 // service is not under pressure send none.
@@ -330,8 +330,8 @@
 }
 
 // Apply replaces what a reporter has reported about a service, and drops reports that have expired. The
-// source is the entry that sends the report: while the entries of a failure domain disagree on their hub,
-// the hub of most of them is heard.
+// source is the entry that sends the report: while a failure domain has several hubs, the reports
+// of the one that covers most entries count.
 func (t *Tracker) Apply(reporter, source, service string, s Summary, now time.Time) {
 	t.reportsMu.Lock()
 	defer t.reportsMu.Unlock()
--- a/internal/fairshare/estimate.go
+++ b/internal/fairshare/estimate.go
@@ -45,8 +45,8 @@
 	shrinkGain = 0.05
 	// maxError bounds the requests per slot beyond those meant that are taken into account.
 	maxError = 0.8
-	// maxCorrection bounds the correction: work measured at cold and at warm upstreams differs
-	// threefold.
+	// maxCorrection bounds the correction: work on an object that an upstream has not cached takes
+	// several times as long.
 	maxCorrection = 4.0
 )
 
--- a/internal/forward/fairshare.go
+++ b/internal/forward/fairshare.go
@@ -93,7 +93,7 @@
 }
 
 // fairShareInput returns what the plan for a service is made from. It is empty, so that all requests
-// are admitted, while the service has room for all or this entry doesn't hear of the demand at others.
+// are admitted, while the service has room for all or there are no reports of the demand at other entries.
 func (p *Proxy) fairShareInput(now time.Time, snap *model.Snapshot, name string, state *serviceState) fairshare.Input {
 	if !state.fair.enabled.Load() || !state.balancer.Pressed(now) {
 		return fairshare.Input{}
--- a/internal/overload/pace.go
+++ b/internal/overload/pace.go
@@ -9,7 +9,7 @@
 	// rateWindow is the time constant with which counts of arrivals and sends decay: a few times the
 	// time that a request waits at most, so that single requests hardly change a rate.
 	rateWindow = 2 * time.Second
-	// priorWindow is the time for which the expected pace counts in the measured one.
+	// priorWindow is the weight of the expected pace in the observed one, as a time of observation.
 	priorWindow = 500 * time.Millisecond
 )
 
