fairshare: where order decides who waits, the gate aims at all of the time that the objective leaves

Change: where organisations do not compete the gate aims at the whole time for waiting (0.7 of it before).

--- a/internal/fairshare/estimate.go
+++ b/internal/fairshare/estimate.go
@@ -16,10 +16,11 @@
 	// others have queues.
 	minMeant = 1.2
 	maxMeant = 3.0
-	// waitShare is the part of the time that the objective leaves for waiting that requests should wait
-	// on average: some wait longer. It is less where organisations of one rank compete, since requests
-	// that wait are not told apart by organisation: a long queue favours those who ask for most.
-	waitShare          = 0.7
+	// waitShare is the part of the time that the objective leaves for waiting that requests may wait on
+	// average: all of it, since the order decides who waits. It is less where organisations of one rank
+	// compete, since requests that wait are not told apart by organisation: a long queue favours those
+	// who ask for most.
+	waitShare          = 1.0
 	competingWaitShare = 0.2
 	// beginUtilisation is the number of requests per slot from which the demand may exceed the room.
 	beginUtilisation = 0.95
