forward: what competes for room is described in one place

Cause: the gate and the order each made an overload.Request of a call, with two ways to hash the organisation. Change: overloadRequest serves both, with organisationOf; a block of one constant is a constant. Conclusion: no behaviour changes.

--- a/internal/forward/fairshare.go
+++ b/internal/forward/fairshare.go
@@ -10,7 +10,6 @@
 
 	"github.com/loomkeel/loomkeel/internal/fairshare"
 	"github.com/loomkeel/loomkeel/internal/model"
-	"github.com/loomkeel/loomkeel/internal/overload"
 	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
@@ -53,10 +52,7 @@
 	if state.admitsAll() {
 		return nil
 	}
-	v := state.gate.Admit(now, overload.Request{
-		Rank: cl.rank, Organisation: organisationOf(cl), Arrived: cl.start, Deadline: cl.deadline,
-		Objective: cl.Route.Objective,
-	})
+	v := state.gate.Admit(now, cl.overloadRequest(0))
 	switch {
 	case !v.Refused:
 		return nil
--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -11,15 +11,12 @@
 
 	"github.com/loomkeel/loomkeel/internal/balance"
 	"github.com/loomkeel/loomkeel/internal/overload"
-	"github.com/loomkeel/loomkeel/internal/quota"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
-const (
-	// reasonReconsider is the reason of a wait that ended because the configuration changed. It is
-	// not sent to callers.
-	reasonReconsider = "configuration-changed"
-)
+// reasonReconsider is the reason of a wait that ended because the configuration changed. It is not sent to
+// callers.
+const reasonReconsider = "configuration-changed"
 
 // orderedQueue holds the requests for one service that wait until an upstream of their objects has
 // room. Its lock is taken before that of the service's Balancer.
@@ -88,11 +85,10 @@
 
 // overloadRequest describes the call to the decisions about room.
 func (c *call) overloadRequest(work time.Duration) overload.Request {
-	r := overload.Request{Rank: c.rank, Arrived: c.start, Deadline: c.deadline, Objective: c.Route.Objective, Work: work}
-	if c.Organisation != nil && c.Organisation.Name != "" {
-		r.Organisation = quota.HashOrganisation(c.Organisation.Name)
+	return overload.Request{
+		Rank: c.rank, Organisation: organisationOf(c), Arrived: c.start, Deadline: c.deadline,
+		Objective: c.Route.Objective, Work: work,
 	}
-	return r
 }
 
 // countArrival counts a call as one that wants room at the upstreams, once for each call. Calls that the
