--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,6 +15,9 @@
 	"time"
 )
 
+// timeLimit is the longest time that a case may take.
+const timeLimit = 110 * time.Second
+
 var (
 	repository, deployRun string
 	trouble               = os.Getenv("TROUBLE") != "0"
@@ -25,6 +28,22 @@
 	subnet string
 )
 
+// window is the time of a disruption.
+type window struct{ from, to time.Time }
+
+// open makes the disruption last for a time, after a wait; without trouble there is none.
+func (w *window) open(after, length time.Duration) {
+	if trouble {
+		w.from = time.Now().Add(after)
+		w.to = w.from.Add(length)
+	}
+}
+
+func (w *window) on() bool {
+	now := time.Now()
+	return now.After(w.from) && now.Before(w.to)
+}
+
 // unable is the panic value of a case that can not run.
 type unable struct{ error }
 
@@ -106,13 +125,16 @@
 	} else {
 		fmt.Println("logs in", dir)
 	}
+	// A case that hangs could not run. The end of this process ends the nodes.
+	time.AfterFunc(timeLimit, func() {
+		fmt.Println("the case could not run: it took too long")
+		os.RemoveAll(dir)
+		os.Exit(2)
+	})
 	cases := map[string]func(dir string) bool{
 		"surplus":  playSurplus,
 		"pipeline": playPipeline,
-		"fuzz":     playFuzz,
 		"memory":   playMemory,
-		"fuzzmem":  playFuzzMem,
-		"fuzzterm": playFuzzTerm,
 	}
 	f := cases[os.Args[1]]
 	if f == nil {
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -26,6 +26,8 @@
 	// answer writes the answer to a request that the target accepts as its own; it calls runs
 	// when it begins to work.
 	answer func(t *target, c *targetConn, r *http.Request, body []byte)
+	// raw serves a connection in place of serveConn if it is set.
+	raw func(t *target, c *targetConn)
 
 	mu       sync.Mutex
 	running  int
@@ -99,6 +101,10 @@
 		if err != nil {
 			return
 		}
+		if t.raw != nil {
+			go t.raw(t, &targetConn{Conn: c})
+			continue
+		}
 		go t.serveConn(&targetConn{Conn: c})
 	}
 }
