--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -55,9 +55,6 @@
 	history  []item
 	leases   map[int64]*lease
 	nextID   int64
-	// lose is asked for each write of a node; a write for which it returns true is not answered
-	// and done after the returned time.
-	lose func(t *txn) (time.Duration, bool)
 }
 
 func newStore(ip string) *store {
@@ -120,7 +117,7 @@
 	s.changed = make(chan struct{})
 }
 
-// put writes a key for the operator or a target, and remove deletes one.
+// put writes a key for the operator or a target.
 func (s *store) put(key string, value any) {
 	raw, err := json.Marshal(value)
 	check(err)
@@ -129,26 +126,6 @@
 	s.change(item{Key: key, Value: raw})
 }
 
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.change(item{Key: key, Deleted: true})
-}
-
-// keys returns the keys under a prefix.
-func (s *store) keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) {
-			out = append(out, k)
-		}
-	}
-	sort.Strings(out)
-	return out
-}
-
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -225,16 +202,6 @@
 		reply(w, 400, map[string]any{})
 		return
 	}
-	if s.lose != nil {
-		if later, lost := s.lose(&t); lost {
-			time.AfterFunc(later, func() {
-				status, _ := s.do(&t)
-				record("store", "late write done", "key", t.Set[0].Key, "lease", t.Set[0].Lease, "status", status)
-			})
-			// The connection says nothing further.
-			select {}
-		}
-	}
 	status, body := s.do(&t)
 	reply(w, status, body)
 }
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -23,11 +23,9 @@
 	slots             int
 	l                 net.Listener
 	st                *store
-	// answer writes the answer to a request that the target accepts as its own; it calls runs
-	// when it begins to work.
+	// answer writes the answer to a request that the target accepts as its own; it calls
+	// begin when it begins to work.
 	answer func(t *target, c *targetConn, r *http.Request, body []byte)
-	// raw serves a connection in place of serveConn if it is set.
-	raw func(t *target, c *targetConn)
 
 	mu       sync.Mutex
 	running  int
@@ -101,10 +99,6 @@
 		if err != nil {
 			return
 		}
-		if t.raw != nil {
-			go t.raw(t, &targetConn{Conn: c})
-			continue
-		}
 		go t.serveConn(&targetConn{Conn: c})
 	}
 }
