platform, relay: only readers and their deputies read the store while peers answer

What callers saw: on the whole fleet a confirmed change was not in force within 5 s.

Cause: a node whose data was older than 0.6 of the bound read the store itself, every node at once. A call that took over half a second was given up, its answer was sent all the same, and it was replaced by a listing of the whole store; the readers, starved of the store by their own followers, lagged, and turned the followers away. Each part fed the next, so that it went on after what had set it off was over: a metastable failure. A listing that failed began again from its first page, so that a fleet that started beside a full store could not get through it at all.

Change: - The store is a source of the first three members of a failure domain only, the reader and two deputies.

TestPropagationInLargeDomains plays domains of six nodes, also one that reaches no peer. TestOneReaderPerDomain and TestCutOffNodeTriesAllReaders asked for the store as last source of all nodes; they now ask for it at exactly three nodes of a domain.

--- a/internal/relay/sources.go
+++ b/internal/relay/sources.go
@@ -10,6 +10,10 @@
 )
 
 const (
+	// maxStoreReaders is how many members of a failure domain may read the store while members of
+	// the fleet answer them: the reader and its deputies. The load on the store is then in
+	// proportion to the failure domains and not to the nodes.
+	maxStoreReaders = 3
 	// maxRemoteReaders is how many readers of other failure domains a node tries before the
 	// store itself.
 	maxRemoteReaders = 2
@@ -35,34 +39,54 @@
 
 // RankSources returns the sources that a node may follow, the best first: the store, if the
 // node is the reader of its failure domain, or else that reader, then readers of other failure
-// domains, and the store last. Members may contain the node itself.
+// domains. The last one is the store for the reader's deputies; other nodes ask the deputies and
+// more readers of other failure domains instead. Members may contain the node itself.
 func RankSources(self model.Member, members []model.Member) []Source {
 	byDomain := groupByDomain(self, members)
-	own := reader(self.Domain, byDomain[self.Domain])
-	remote := remoteReaders(self, byDomain, maxRemoteReaders)
-	if own.ID == self.ID {
-		return append([]Source{StoreSource}, remote...)
+	own := RankMembers(self.Domain, byDomain[self.Domain])
+	remote := remoteReaders(self, byDomain, maxRemoteReadersCutOff)
+	near, far := remote[:min(maxRemoteReaders, len(remote))], remote[min(maxRemoteReaders, len(remote)):]
+	switch {
+	case own[0].ID == self.ID:
+		return append([]Source{StoreSource}, near...)
+	case readsStore(self, own):
+		return slices.Concat([]Source{sourceOf(own[0])}, near, []Source{StoreSource})
 	}
-	return append(append([]Source{sourceOf(own)}, remote...), StoreSource)
+	return slices.Concat([]Source{sourceOf(own[0])}, near, sourcesOf(own[1:maxStoreReaders]), far)
 }
 
 // RankSourcesCutOff returns the sources that a node may follow while the store does not
 // answer it, the best first: its reader, readers of other failure domains, members of its own
-// failure domain, which follow the store if their reader is cut off too, and the store last.
+// failure domain, which follow the store if their reader is cut off too, and the store last, if
+// the node may read it.
 func RankSourcesCutOff(self model.Member, members []model.Member) []Source {
 	byDomain := groupByDomain(self, members)
-	var out []Source
 	own := RankMembers(self.Domain, byDomain[self.Domain])
-	if own[0].ID != self.ID {
-		out = append(out, sourceOf(own[0]))
+	local := sourcesOf(slices.DeleteFunc(slices.Clone(own[:min(1+maxLocalCutOff, len(own))]), func(m model.Member) bool { return m.ID == self.ID }))
+	remote := remoteReaders(self, byDomain, maxRemoteReadersCutOff)
+	if own[0].ID == self.ID {
+		return slices.Concat(remote, local, []Source{StoreSource})
 	}
-	out = append(out, remoteReaders(self, byDomain, maxRemoteReadersCutOff)...)
-	for _, m := range own[1:min(1+maxLocalCutOff, len(own))] {
-		if m.ID != self.ID {
-			out = append(out, sourceOf(m))
-		}
+	out := slices.Concat(local[:1], remote, local[1:])
+	if readsStore(self, own) {
+		out = append(out, StoreSource)
 	}
-	return append(out, StoreSource)
+	return out
+}
+
+// readsStore reports whether a node is among the first members of its failure domain, which are
+// given in the order of RankMembers.
+func readsStore(self model.Member, ranked []model.Member) bool {
+	return slices.ContainsFunc(ranked[:min(maxStoreReaders, len(ranked))], func(m model.Member) bool { return m.ID == self.ID })
+}
+
+// Turn returns how many members of a node's failure domain precede it in the order of RankMembers,
+// as a fraction of all of them, and for how many members of the domain there is one that may read
+// the store.
+func Turn(self model.Member, members []model.Member) (position, perReader float64) {
+	own := RankMembers(self.Domain, groupByDomain(self, members)[self.Domain])
+	rank := slices.IndexFunc(own, func(m model.Member) bool { return m.ID == self.ID })
+	return float64(rank) / float64(len(own)), float64(len(own)) / maxStoreReaders
 }
 
 // groupByDomain returns the live members that have an agent by failure domain, and the node
@@ -123,36 +147,65 @@
 
 func sourceOf(m model.Member) Source { return Source{m.ID, m.Agent} }
 
+func sourcesOf(members []model.Member) []Source {
+	out := make([]Source, len(members))
+	for i, m := range members {
+		out[i] = sourceOf(m)
+	}
+	return out
+}
+
 // Picker picks sources and avoids those that failed recently. It is not safe for concurrent
 // use.
 type Picker struct {
-	failedAt map[Source]time.Time
+	failures map[Source]failure
+}
+
+// failure is the last failure of a source.
+type failure struct {
+	at time.Time
+	// lagging is set if the source delivered changes, but not all.
+	lagging bool
 }
 
 // NewPicker returns a Picker without recorded failures.
-func NewPicker() *Picker { return &Picker{failedAt: make(map[Source]time.Time)} }
+func NewPicker() *Picker { return &Picker{failures: make(map[Source]failure)} }
 
-// RecordFailure records that a source failed.
-func (p *Picker) RecordFailure(s Source, now time.Time) {
-	for known, at := range p.failedAt {
-		if now.Sub(at) >= failureBackoff {
-			delete(p.failedAt, known)
+// RecordFailure records that a source failed. Lagging is set if it delivered changes all the same.
+func (p *Picker) RecordFailure(s Source, lagging bool, now time.Time) {
+	for known, f := range p.failures {
+		if now.Sub(f.at) >= failureBackoff {
+			delete(p.failures, known)
 		}
 	}
-	p.failedAt[s] = now
+	p.failures[s] = failure{now, lagging}
 }
 
 // Pick returns the first of the ranked sources that has not failed within failureBackoff,
-// and true. If all have, it returns the one whose failure is longest ago, and false.
+// and true. If all have, it returns the first one that lags, or else the one whose failure is
+// longest ago, and false.
 func (p *Picker) Pick(ranked []Source, now time.Time) (s Source, available bool) {
 	for _, s := range ranked {
-		at, failed := p.failedAt[s]
-		if !failed || now.Sub(at) >= failureBackoff {
+		if p.available(s, now) {
 			return s, true
 		}
 	}
+	if i := slices.IndexFunc(ranked, func(s Source) bool { return p.failures[s].lagging }); i >= 0 {
+		return ranked[i], false
+	}
 	oldest := slices.MinFunc(ranked, func(a, b Source) int {
-		return cmp.Compare(p.failedAt[a].UnixNano(), p.failedAt[b].UnixNano())
+		return p.failures[a].at.Compare(p.failures[b].at)
 	})
 	return oldest, false
 }
+
+// AvailableBeside reports whether another one of the ranked sources than s has not failed within
+// failureBackoff.
+func (p *Picker) AvailableBeside(s Source, ranked []Source, now time.Time) bool {
+	return slices.ContainsFunc(ranked, func(other Source) bool { return other != s && p.available(other, now) })
+}
+
+func (p *Picker) available(s Source, now time.Time) bool {
+	f, failed := p.failures[s]
+	return !failed || now.Sub(f.at) >= failureBackoff
+}
