forward: a late copy of a refusal is not taken for the answer to a later send

Cause: the order was sent to that upstream again, on the same connection and with the same request ID. A second copy of the first refusal was then taken for the answer to the second send, which ran, and the order went to another upstream. The same happened to the next request on a connection if the refusal carried no request ID.

Change: a call that is sent to an address again gets a new connection; a connection is closed after a response whose late copy could not be recognised, which on the platform is one without a request ID.

Conclusion: which bytes belong to which send is certain by ID or by connection.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -50,6 +50,8 @@
 	// callerGone is closed when the caller leaves.
 	callerGone <-chan struct{}
 	body       *replayBody
+	// sent holds the addresses to which the request was sent.
+	sent addressSet
 	// tried holds the IDs of upstreams that must not get the request again.
 	tried []string
 	// headKeys are the request's poison keys without the body.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -103,7 +103,7 @@
 		return nil, err
 	}
 	b := &responseBody{ReadCloser: resp.Body, conn: c, stop: stop, sent: sent}
-	b.reuse = !resp.Close && !stale && !closeDelimited(resp)
+	b.reuse = !resp.Close && !stale && !closeDelimited(resp) && c.pool.opt.Identified(resp)
 	empty := resp.ContentLength == 0 || resp.Body == http.NoBody
 	if timeout, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = timeout
--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -159,3 +159,7 @@
 // request ID, so that stale responses cannot be recognised. ParseResponse rejects a response
 // with a different ID.
 func (Native) Matches(*http.Response, *http.Request) bool { return true }
+
+// Identified implements Protocol. It returns true for all responses, so that connections to
+// upstreams that do not echo the request ID can be reused.
+func (Native) Identified(*http.Response) bool { return true }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -48,6 +48,9 @@
 	// Matches reports whether a response belongs to a request; nil means that every response
 	// does.
 	Matches func(*http.Response, *http.Request) bool
+	// Identified reports whether a late copy of a response could be recognised. After a response of
+	// which it could not, the connection is closed. nil means that every copy could.
+	Identified func(*http.Response) bool
 }
 
 // Pool holds connections to upstreams, with one request at a time on each connection. It is an
@@ -72,6 +75,9 @@
 	if opt.Matches == nil {
 		opt.Matches = func(*http.Response, *http.Request) bool { return true }
 	}
+	if opt.Identified == nil {
+		opt.Identified = func(*http.Response) bool { return true }
+	}
 	p := &Pool{opt: opt, idle: make(map[string][]*upstreamConn)}
 	if p.opt.Dial == nil {
 		dialer := net.Dialer{Control: setUnackedTimeout}
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -113,6 +113,83 @@
 	}
 }
 
+// TestUnidentifiedRefusalIsNotTakenForAnotherAnswer makes an upstream refuse a request without naming
+// it, and refuse it a second time before it answers the next request on the connection.
+func TestUnidentifiedRefusalIsNotTakenForAnotherAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	s := newScriptedUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+		refused := n > 0
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			if !refused {
+				refused = true
+				io.WriteString(c, refusal)
+				continue
+			}
+			if n == 0 {
+				io.WriteString(c, refusal)
+			}
+			io.WriteString(c, answerTo(id))
+		}
+	})
+	p := NewPool(PoolOptions{
+		Now: time.Now,
+		Matches: func(resp *http.Response, req *http.Request) bool {
+			echo := resp.Header.Get(idHeader)
+			return echo == "" || echo == req.Header.Get(idHeader)
+		},
+		Identified: func(resp *http.Response) bool { return resp.Header.Get(idHeader) != "" },
+	})
+	if got, err := s.send(t, p, "a", "/", nil, 0); got != "" || err != nil {
+		t.Errorf("the refused request got %q, %v", got, err)
+	}
+	for _, id := range []string{"b", "c"} {
+		if got, err := s.send(t, p, id, "/", nil, 0); got != id || err != nil {
+			t.Errorf("request %s got %q, %v", id, got, err)
+		}
+	}
+}
+
+// TestLateRefusalIsNotTakenForTheNextAttempt makes an upstream shed a request, and shed it a second
+// time on the same connection when the request is sent again. The request must run once.
+func TestLateRefusalIsNotTakenForTheNextAttempt(t *testing.T) {
+	const refusal = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+	var requests, runs atomic.Int32
+	s := newScriptedUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			if requests.Add(1) == 1 {
+				io.WriteString(c, refusal)
+				continue
+			}
+			runs.Add(1)
+			if n == 0 {
+				io.WriteString(c, refusal)
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	e := newEntry(t, []*fakeUpstream{{lis: s.lis}, {lis: s.lis}, {lis: s.lis}})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/order", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Loomkeel-Service", "orders")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK || runs.Load() != 1 {
+		t.Errorf("status %d, the request ran %d times", resp.StatusCode, runs.Load())
+	}
+}
+
 // TestUnexpectedDataClosesConnection makes an upstream send more data after a complete
 // response.
 func TestUnexpectedDataClosesConnection(t *testing.T) {
