forward: responses that end with their connection are held within the bound

An answer without end would have done the same by itself.

Cause: a response without a length was read whole, whatever its length, and not counted in the memory for bodies.

Change: like other responses it is held up to 64 KiB, counted, and streamed beyond that or without memory.

Conclusion: one bound holds for all framings.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -185,18 +185,25 @@
 	return verdict.New(v, reasonBroken, err)
 }
 
-// readResponse reads the body of a small response completely if there is memory for it. It does the
-// same for a response that is delimited by the end of its connection, because such a response has
-// no length to detect truncation by.
+// readResponse reads the body of a small response completely if there is memory for it. Other
+// responses are streamed.
 func (p *Proxy) readResponse(ctx context.Context, resp *http.Response) (*upstreamResponse, *verdict.Error) {
 	res := &upstreamResponse{resp: resp, buffers: &p.buffers}
-	if !closeDelimited(resp) {
-		if resp.ContentLength < 0 || resp.ContentLength > maxBufferedResponse || !p.buffers.reserve(resp.ContentLength) {
-			return res, nil
-		}
-		res.reserved = resp.ContentLength
+	size := resp.ContentLength
+	if closeDelimited(resp) {
+		// Its length is known at its end. While a part is not sent yet, a response that breaks off can
+		// be replaced by an error or another attempt.
+		size = maxBufferedResponse
+	}
+	if size < 0 || size > maxBufferedResponse || !p.buffers.reserve(size) {
+		return res, nil
+	}
+	res.reserved = size
+	body, err := io.ReadAll(io.LimitReader(resp.Body, size+1))
+	if err == nil && int64(len(body)) > size {
+		res.resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
+		return res, nil
 	}
-	body, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	if err != nil {
 		res.release()
@@ -210,6 +217,12 @@
 	return res, nil
 }
 
+// prefixedBody is a body of which a part has been read already.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // discard drops a response. It reads up to 4 KiB of the body, so that the connection can be
 // reused if the body ends there.
 func discard(resp *http.Response) {
