forward: a stale response without end closes its connection

What callers saw: a request behind a surplus response whose body does not end waited until its deadline, while the entry read that body as fast as it came.

Cause: the body of a response to an earlier request was read to its end, without a bound.

Change: after 1 MiB the connection is closed and the attempt fails as one that may have run.

Evidence: TestEndlessBytesEndTheConnection plays bytes without end in each part of a response before its body is passed on. Before, "stale body" and "stale chunks" did not end in 8 s; the other eleven ended.

Conclusion: heads, interim responses, chunk sizes and extensions, and trailers were bounded already.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,9 @@
 const (
 	// maxResponseHeader is the largest response header in bytes.
 	maxResponseHeader = 64 << 10
+	// maxStaleBody is the largest body in bytes of a response to an earlier request that is read to
+	// get to the next response.
+	maxStaleBody = 1 << 20
 	// maxInlineBody is the largest request body in bytes that is sent before the response is
 	// read. A longer body is sent in a goroutine of its own, because the upstream may respond
 	// before it has read the whole body.
@@ -240,8 +244,8 @@
 			return resp, stale, nil
 		}
 		stale = true
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, stale, err
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody)); err != nil || n == maxStaleBody {
+			return nil, stale, cmp.Or(err, errStaleResponses)
 		}
 	}
 	return nil, stale, errStaleResponses
