--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -53,6 +53,14 @@
 	return c.revision
 }
 
+// Has reports whether the Cache has a record of a key that is not deleted.
+func (c *Cache) Has(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.records[key]
+	return ok && !r.Deleted
+}
+
 // CompleteUntil returns the time up to which the Cache certainly has every change of the
 // store; zero if there is none.
 func (c *Cache) CompleteUntil() time.Time {
