relay: peers that are a change behind never get a full batch

After each 4,096 deletions of keys a reader sent its whole data to all of its followers at once: 109 times some 0.7 MB over a link of 25 MB/s, three seconds, where a follower waits one second and asks again.

Cause: all tombstones were dropped at once, so that peers one change behind lacked some.

Change: the older half is dropped.

Evidence: TestDroppedTombstonesSpareCurrentPeers failed before, after 4,097 deletions.

Conclusion: a peer gets a full batch only if it is 2,048 deletions behind.

--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -103,7 +103,7 @@
 		c.put(r)
 	}
 	if c.tombstones > maxTombstones {
-		c.dropTombstones(max(c.revision, b.Revision))
+		c.dropTombstones()
 	}
 	if b.CompleteUntil.After(c.completeUntil) {
 		c.completeUntil = b.CompleteUntil
@@ -144,14 +144,24 @@
 	c.records[r.Key] = r
 }
 
-// dropTombstones deletes all tombstones. Peers behind the new floor get a full batch.
-func (c *Cache) dropTombstones(floor int64) {
-	for key, r := range c.records {
+// dropTombstones deletes the older half of the tombstones. Only peers behind the new floor get a
+// full batch: all peers of a node are a little behind it, and its link could not carry full batches to
+// all of them at once.
+func (c *Cache) dropTombstones() {
+	var revisions []int64
+	for _, r := range c.records {
 		if r.Deleted {
+			revisions = append(revisions, r.Revision)
+		}
+	}
+	slices.Sort(revisions)
+	c.floor = max(c.floor, revisions[len(revisions)/2])
+	for key, r := range c.records {
+		if r.Deleted && r.Revision <= c.floor {
 			delete(c.records, key)
+			c.tombstones--
 		}
 	}
-	c.tombstones, c.floor = 0, floor
 }
 
 // notify ends the waits of all callers of Wait.
--- a/internal/relay/cache_test.go
+++ b/internal/relay/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -137,3 +138,21 @@
 		}
 	})
 }
+
+// TestDroppedTombstonesSpareCurrentPeers deletes keys one after the other until tombstones are dropped. A
+// peer that has all changes but the last must never get a full batch, and the number of tombstones
+// must stay bounded.
+func TestDroppedTombstonesSpareCurrentPeers(t *testing.T) {
+	const keys = 3 * maxTombstones
+	c := NewCache()
+	c.Apply(Batch{Full: true, Revision: 1})
+	for i := range int64(keys) {
+		c.Apply(Batch{Records: []Record{{Key: fmt.Sprint(i), Revision: i + 2, Deleted: true}}, Revision: i + 2})
+		if full := c.position(i + 1).full; full || c.tombstones > maxTombstones {
+			t.Fatalf("after %d deletions: full batch %v for a peer one change behind, %d tombstones", i+1, full, c.tombstones)
+		}
+	}
+	if !c.position(1).full {
+		t.Error("a peer from before the first deletions gets no full batch")
+	}
+}
