--- a/internal/relay/sources.go
+++ b/internal/relay/sources.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// maxStoreReaders is how many members of a failure domain may read the store while members of
+	// MaxStoreReaders is how many members of a failure domain may read the store while members of
 	// the fleet answer them: the reader and its deputies. The load on the store is then in
 	// proportion to the failure domains and not to the nodes.
-	maxStoreReaders = 3
+	MaxStoreReaders = 3
 	// maxRemoteReaders is how many readers of other failure domains a node tries before the
 	// store itself.
 	maxRemoteReaders = 2
@@ -52,7 +52,7 @@
 	case readsStore(self, own):
 		return slices.Concat([]Source{sourceOf(own[0])}, near, []Source{StoreSource})
 	}
-	return slices.Concat([]Source{sourceOf(own[0])}, near, sourcesOf(own[1:maxStoreReaders]), far)
+	return slices.Concat([]Source{sourceOf(own[0])}, near, sourcesOf(own[1:MaxStoreReaders]), far)
 }
 
 // RankSourcesCutOff returns the sources that a node may follow while the store does not
@@ -77,16 +77,14 @@
 // readsStore reports whether a node is among the first members of its failure domain, which are
 // given in the order of RankMembers.
 func readsStore(self model.Member, ranked []model.Member) bool {
-	return slices.ContainsFunc(ranked[:min(maxStoreReaders, len(ranked))], func(m model.Member) bool { return m.ID == self.ID })
+	return slices.ContainsFunc(ranked[:min(MaxStoreReaders, len(ranked))], func(m model.Member) bool { return m.ID == self.ID })
 }
 
-// Turn returns how many members of a node's failure domain precede it in the order of RankMembers,
-// as a fraction of all of them, and for how many members of the domain there is one that may read
-// the store.
-func Turn(self model.Member, members []model.Member) (position, perReader float64) {
+// Rank returns how many members of a node's failure domain precede it in the order of RankMembers, and
+// how many members the domain has.
+func Rank(self model.Member, members []model.Member) (rank, size int) {
 	own := RankMembers(self.Domain, groupByDomain(self, members)[self.Domain])
-	rank := slices.IndexFunc(own, func(m model.Member) bool { return m.ID == self.ID })
-	return float64(rank) / float64(len(own)), float64(len(own)) / maxStoreReaders
+	return slices.IndexFunc(own, func(m model.Member) bool { return m.ID == self.ID }), len(own)
 }
 
 // groupByDomain returns the live members that have an agent by failure domain, and the node
--- a/internal/relay/sources_test.go
+++ b/internal/relay/sources_test.go
@@ -50,8 +50,8 @@
 		}
 	}
 	for domain, n := range deputies {
-		if n != maxStoreReaders-1 {
-			t.Errorf("%s: the store is a source of %d nodes beside the reader, want %d", domain, n, maxStoreReaders-1)
+		if n != MaxStoreReaders-1 {
+			t.Errorf("%s: the store is a source of %d nodes beside the reader, want %d", domain, n, MaxStoreReaders-1)
 		}
 	}
 	for domain, ids := range readers {
