forward, pipeline: an answer that breaks off does not take those behind it along

Cause: an answer of over 64 KiB, or in chunks, was streamed as it came. If it breaks off the connection has to end, with all answers that wait behind it. Requests were also passed on behind an answer that was being streamed already.

Change: an answer with requests behind it in progress is held until it is whole, up to 1 MiB and within the memory for bodies; if it breaks off it is replaced by another attempt or an error. One with nothing behind it is streamed, and none behind it is served until it has been sent.

Conclusion: answers above 1 MiB, or without memory, can still take up to eight requests along that were passed on before their head came.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/balance"
+	"github.com/loomkeel/loomkeel/internal/pipeline"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
@@ -38,6 +39,10 @@
 // retried.
 const maxBufferedResponse = 64 << 10
 
+// maxHeldResponse is the same for a response with requests behind it on the caller's connection that
+// are being served already.
+const maxHeldResponse = 1 << 20
+
 // upstreamResponse is the response of an upstream.
 type upstreamResponse struct {
 	resp *http.Response
@@ -103,7 +108,7 @@
 		discard(resp)
 		return nil, verdict.New(verdict.MayHaveRun, info.InvalidReason, fmt.Errorf("answer %s to request %s", resp.Status, cl.ID))
 	}
-	res, verr := p.readResponse(ctx, resp)
+	res, verr := p.readResponse(ctx, cl, resp)
 	if verr == nil {
 		res.info, res.observed, res.connectTime = info, observed, writes.connectTime()
 	}
@@ -185,36 +190,53 @@
 	return verdict.New(v, reasonBroken, err)
 }
 
-// readResponse reads the body of a small response completely if there is memory for it. Other
-// responses are streamed.
-func (p *Proxy) readResponse(ctx context.Context, resp *http.Response) (*upstreamResponse, *verdict.Error) {
+// readResponse reads the body of a small response completely if there is memory for it, and that of a
+// larger one if requests behind it on the caller's connection would be lost with a response that breaks
+// off. Other responses are streamed.
+func (p *Proxy) readResponse(ctx context.Context, cl *call, resp *http.Response) (*upstreamResponse, *verdict.Error) {
 	res := &upstreamResponse{resp: resp, buffers: &p.buffers}
-	size := resp.ContentLength
-	if closeDelimited(resp) {
-		// Its length is known at its end. While a part is not sent yet, a response that breaks off can
-		// be replaced by an error or another attempt.
-		size = maxBufferedResponse
+	// A chunked response may be sent slowly, and callers want its first part. One that is delimited by
+	// the end of its connection usually is short.
+	if resp.ContentLength >= 0 || closeDelimited(resp) {
+		if err := res.readWithin(ctx, maxBufferedResponse); err != nil {
+			return nil, err
+		}
+	}
+	if !res.buffered && pipeline.BeginStream(cl.writer) {
+		if err := res.readWithin(ctx, maxHeldResponse); err != nil {
+			return nil, err
+		}
+	}
+	return res, nil
+}
+
+// readWithin reads the body completely if it has at most limit bytes and there is memory for it. While
+// no part of it is sent yet, a response that breaks off can be replaced by an error or another attempt.
+func (res *upstreamResponse) readWithin(ctx context.Context, limit int64) *verdict.Error {
+	size := res.resp.ContentLength
+	if size < 0 {
+		size = limit
 	}
-	if size < 0 || size > maxBufferedResponse || !p.buffers.reserve(size) {
-		return res, nil
+	if size > limit || !res.buffers.reserve(size) {
+		return nil
 	}
-	res.reserved = size
-	body, err := io.ReadAll(io.LimitReader(resp.Body, size+1))
+	res.reserved += size
+	body, err := io.ReadAll(io.LimitReader(res.resp.Body, size+1))
 	if err == nil && int64(len(body)) > size {
-		res.resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
-		return res, nil
+		res.resp.Body = &prefixedBody{io.MultiReader(bytes.NewReader(body), res.resp.Body), res.resp.Body}
+		return nil
 	}
-	resp.Body.Close()
+	res.resp.Body.Close()
 	if err != nil {
 		res.release()
 		reason := reasonBroken
 		if ctx.Err() != nil {
 			reason = reasonTimeout
 		}
-		return nil, verdict.New(verdict.MayHaveRun, reason, err)
+		return verdict.New(verdict.MayHaveRun, reason, err)
 	}
 	res.body, res.buffered = body, true
-	return res, nil
+	return nil
 }
 
 // prefixedBody is a body of which a part has been read already.
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -50,6 +50,8 @@
 	// callerGone is closed when the caller leaves.
 	callerGone <-chan struct{}
 	body       *replayBody
+	// writer is where the response goes.
+	writer http.ResponseWriter
 	// sent holds the addresses to which the request was sent.
 	sent addressSet
 	// tried holds the IDs of upstreams that must not get the request again.
@@ -69,9 +71,10 @@
 
 // newCall returns the call for a request to svc. Limits of the request's route take precedence
 // over those of the service.
-func newCall(r *http.Request, info RequestInfo, svc *model.Service, memory *buffers, now time.Time) *call {
+func newCall(w http.ResponseWriter, r *http.Request, info RequestInfo, svc *model.Service, memory *buffers, now time.Time) *call {
 	c := &call{
 		RequestInfo: info,
+		writer:      w,
 		service:     svc,
 		start:       now,
 		attempts:    svc.Attempts,
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -151,7 +151,7 @@
 		p.peers.end(peer.ID)
 		return nil, nil, verdict.New(verdict.MayHaveRun, info.InvalidReason, fmt.Errorf("answer %s to request %s by peer", resp.Status, cl.ID))
 	}
-	res, verr := p.readResponse(ctx, resp)
+	res, verr := p.readResponse(ctx, cl, resp)
 	if verr != nil {
 		p.peers.end(peer.ID)
 		return nil, nil, verr
--- a/internal/forward/pipelined_test.go
+++ b/internal/forward/pipelined_test.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,6 +85,103 @@
 	}
 }
 
+// TestPipelinedBehindBrokenAnswer breaks off an answer that is too long to be held usually, when two
+// requests behind it are being served. Both must be answered.
+func TestPipelinedBehindBrokenAnswer(t *testing.T) {
+	const size = 100_000
+	whole := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	half := strings.Repeat("x", size/2)
+	for name, broken := range map[string]string{
+		"with a length":              fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, half),
+		"in chunks":                  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(half), half),
+		"in chunks, after the first": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n%x\r\n%s\r\n", size, half),
+	} {
+		behind := make(chan struct{}, 2)
+		s := newScriptedUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if req.Header.Get(header.RequestID) == "a" {
+					for range cap(behind) {
+						<-behind
+					}
+					close(behind)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+broken)
+					return
+				}
+				behind <- struct{}{}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+whole)
+			}
+		})
+		e := newEntry(t, []*fakeUpstream{{lis: s.lis}})
+		c := e.dial(t)
+		if _, err := fmt.Fprint(c, get("a")+get("b")+get("c")); err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Join(c.readAnswers(3), ", "); got != "502 a, 200 b, 200 c" {
+			t.Errorf("%s: answers %s", name, got)
+		}
+	}
+}
+
+// TestPipelinedBehindStream sends a request while a long answer is being sent, which then breaks off or
+// ends. The request must not be passed on before.
+func TestPipelinedBehindStream(t *testing.T) {
+	const size = 100_000
+	half := strings.Repeat("x", size/2)
+	for _, tt := range []struct {
+		name, rest string
+		answers    string
+		passedOn   int32
+	}{
+		{"that breaks off", "", "", 0},
+		{"that ends", half, "200 a, 200 b", 1},
+	} {
+		end, passedOn := make(chan struct{}), atomic.Int32{}
+		s := newScriptedUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if req.Header.Get(header.RequestID) == "b" {
+					passedOn.Add(1)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					continue
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, half)
+				<-end
+				if tt.rest == "" {
+					return
+				}
+				_, _ = io.WriteString(c, tt.rest)
+			}
+		})
+		e := newEntry(t, []*fakeUpstream{{lis: s.lis}})
+		c := e.dial(t)
+		if _, err := fmt.Fprint(c, get("a")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.r.Peek(1000); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fmt.Fprint(c, get("b")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if n := passedOn.Load(); n != 0 {
+			t.Errorf("%s: %d requests were passed on meanwhile", tt.name, n)
+		}
+		close(end)
+		got := strings.Join(c.readAnswers(2), ", ")
+		if n := passedOn.Load(); got != tt.answers || n != tt.passedOn {
+			t.Errorf("%s: answers %q, %d requests passed on behind it", tt.name, got, n)
+		}
+	}
+}
+
 // TestDrainBetweenPipelinedRequests stops the entry while a request is in progress: its answer
 // arrives, and those behind it are refused as not run.
 func TestDrainBetweenPipelinedRequests(t *testing.T) {
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -358,7 +358,7 @@
 		p.reply(w, r, nil, out, replyFor(verdict.New(verdict.NotRun, reasonNoUpstream, nil).WithRetryAfter(unavailableRetryAfter), verdict.NotRun))
 		return
 	}
-	cl := newCall(r, info, svc, &p.buffers, p.now())
+	cl := newCall(w, r, info, svc, &p.buffers, p.now())
 	defer cl.body.release()
 	cl.configVersion = snap.Revision
 	cl.applyHandover(received)
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -31,7 +31,7 @@
 	} {
 		p := &Proxy{buffers: buffers{limit: tt.limit}}
 		sent := strings.NewReader(strings.Repeat("x", tt.size))
-		res, err := p.readResponse(t.Context(), unframedResponse(sent))
+		res, err := p.readResponse(t.Context(), &call{}, unframedResponse(sent))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -58,7 +58,7 @@
 	for _, size := range []int{1000, 8 << 20} {
 		p := &Proxy{buffers: buffers{limit: 1 << 20}}
 		body := io.MultiReader(strings.NewReader(strings.Repeat("x", size)), &failingReader{broken})
-		res, verr := p.readResponse(t.Context(), unframedResponse(body))
+		res, verr := p.readResponse(t.Context(), &call{}, unframedResponse(body))
 		if size <= maxBufferedResponse {
 			if verr == nil || p.buffers.held.Load() != 0 {
 				t.Errorf("%d bytes: error %v, %d bytes stay reserved", size, verr, p.buffers.held.Load())
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -52,7 +52,7 @@
 	gone bool
 	// lanes are the open lanes in the order of their requests.
 	lanes []*lane
-	// blocked is set once the next request in ahead can not be served in a lane.
+	// blocked is set once the next request in ahead can not or must not be served in a lane.
 	blocked bool
 	// last is set once the connection closes after the answers to the requests in progress.
 	last bool
@@ -197,6 +197,14 @@
 	return len(c.lanes) > 0
 }
 
+// serveNoMore implements stream.
+func (c *conn) serveNoMore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked = true
+	return len(c.lanes) > 0
+}
+
 // takeOver starts the pump.
 func (c *conn) takeOver() {
 	c.takenOver = true
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -194,11 +194,26 @@
 	c := l.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	behind := len(c.lanes) > 0 && c.lanes[len(c.lanes)-1] != l
+	behind := l.hasBehind()
 	c.last = c.last || !behind
 	return behind
 }
 
+// serveNoMore implements stream.
+func (l *lane) serveNoMore() bool {
+	c := l.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked = true
+	return l.hasBehind()
+}
+
+// hasBehind reports whether there are lanes behind this one.
+func (l *lane) hasBehind() bool {
+	lanes := l.conn.lanes
+	return len(lanes) > 0 && lanes[len(lanes)-1] != l
+}
+
 // LocalAddr implements net.Conn.
 func (l *lane) LocalAddr() net.Addr { return l.conn.LocalAddr() }
 
--- a/internal/pipeline/writer.go
+++ b/internal/pipeline/writer.go
@@ -15,6 +15,17 @@
 	// keepOpen reports whether requests behind the one in progress are being served. If not, none
 	// will be, because the answer closes the connection.
 	keepOpen() bool
+	// serveNoMore has no further requests served behind the one in progress until its answer has been
+	// written. It reports whether some are being served already.
+	serveNoMore() (behind bool)
+}
+
+// BeginStream is called by a handler before it sends an answer that may break off, which ends the
+// connection. It reports whether requests behind this one are being served, whose answers would be
+// lost. If there are none, none are served until the answer has been written.
+func BeginStream(w http.ResponseWriter) (behind bool) {
+	rw, ok := w.(*responseWriter)
+	return ok && rw.stream.serveNoMore()
 }
 
 // serve has the handler h serve a request.
