--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -175,18 +175,8 @@
 		}
 	})
 	e := newEntry(t, []*fakeUpstream{{lis: s.lis}, {lis: s.lis}, {lis: s.lis}})
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/order", strings.NewReader("x"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Loomkeel-Service", "orders")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
-	if resp.StatusCode != http.StatusOK || runs.Load() != 1 {
-		t.Errorf("status %d, the request ran %d times", resp.StatusCode, runs.Load())
+	if got := e.send(t, http.MethodPost, "/order", "x"); got.status != http.StatusOK || runs.Load() != 1 {
+		t.Errorf("status %d, the request ran %d times", got.status, runs.Load())
 	}
 }
 
