--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # deploy file. It needs Go and no network.
 set -eu
 cd "$(dirname "$0")/standins-2"
-go build -o ../../target/review-2/standins-2 .
+GOTOOLCHAIN=local go build -o ../../target/review-2/standins-2 .
--- a/review/standins-2/gone.go
+++ b/review/standins-2/gone.go
@@ -6,139 +6,116 @@
 	"net"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	// orders is the number of orders that clients send, spread over sendOver. Each client leaves within
-	// leaveWithin, which is half of the route's objective.
-	orders      = 80
-	sendOver    = 800 * time.Millisecond
-	leaveWithin = 300 * time.Millisecond
-	// goneAfter is the bound of the rule: no request may reach a target so long after its client's
-	// close. A few may.
+	// leavers of goneClients clients leave after leaveAfter, which is within half of the route's
+	// objective; the others wait for all of their answers.
+	goneClients = 10
+	leavers     = 3
+	leaveAfter  = 200 * time.Millisecond
+	goneLatency = 2
+	// goneRequests is the number of requests that a client sends before the first has been answered, each
+	// with a cookie of cookieSize bytes.
+	goneRequests = 30
+	cookieSize   = 350
+	goneWork     = 1200 * time.Millisecond
+	goneDeadline = 6 * time.Second
+	// goneAfter and goneShare are the bounds of the rule.
 	goneAfter = 500 * time.Millisecond
-	goneFew   = 5
-	// goneWait is how long the stand-ins wait for requests after the last order.
-	goneWait = 4 * time.Second
+	goneShare = 0.25
 )
 
-// playGone sends orders whose clients leave soon, while one target of four is dark.
+// playGone has clients leave while targets work on their pipelined requests.
 func playGone(w *world) (bool, string, error) {
 	zones := []zone{{"mus-a", "muscat"}, {"soh-a", "sohar"}}
-	w.store.Put("op/config", config(map[string]any{"r-1": route("/xapu221/ny95/", "unsafe", "wuno96b", 2.5, 0.6)}, map[string]any{"wuno96b": service()}))
-	opt := targetOptions{id: "i-ord", service: "wuno96b", slots: 9, queue: 27, work: 50 * time.Millisecond, size: 400}
-	if err := w.addTargets(3, zones, opt); err != nil {
-		return false, "", err
-	}
-	opt.id, opt.zone = "i-dark", zones[1].name
-	var err error
-	var dark *target
-	if w.trouble {
-		dark, err = startDark(w, opt)
-	} else {
-		dark, err = startTarget(w.store, w.rec, w.ip(150), opt)
-	}
-	if err != nil {
+	w.store.Put("op/config", config(map[string]any{"r-1": route("/archive/", "safe", "kafi81c", 6, goneLatency)}, map[string]any{"kafi81c": service()}))
+	if err := w.addTargets(8, zones, targetOptions{id: "i-arc", service: "kafi81c", slots: 16, queue: 48, work: goneWork, size: 400}); err != nil {
 		return false, "", err
 	}
 	if err := w.addNodes(zones, zones, smallBounds); err != nil {
 		return false, "", err
 	}
-	closed := make(map[string]time.Time)
 	var mu sync.Mutex
-	var sending sync.WaitGroup
-	for i := range orders {
-		time.Sleep(sendOver / orders)
-		sending.Add(1)
+	closed := make(map[string]time.Time)
+	var playing sync.WaitGroup
+	for i := range goneClients {
+		leaves := w.trouble && i < leavers
+		playing.Add(1)
 		go func() {
-			defer sending.Done()
-			id := newID()
-			at, err := sendOrder(w, w.nodes[i%len(w.nodes)], id, i)
+			defer playing.Done()
+			ids, at, err := sendAhead(w, w.nodes[i%len(w.nodes)], leaves)
 			if err != nil {
-				w.rec.addf("client: %s: %v", id, err)
-				return
+				w.rec.addf("client: %v", err)
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			closed[id] = at
+			for _, id := range ids {
+				if leaves {
+					closed[id] = at
+				}
+			}
 		}()
 	}
-	sending.Wait()
-	time.Sleep(goneWait)
-	return judgeGone(w, append(w.targets, dark), closed)
+	playing.Wait()
+	return judgeGone(w, closed)
 }
 
-// startDark writes the entry of a target whose machine says nothing: no connection to it is accepted.
-func startDark(w *world, opt targetOptions) (*target, error) {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		return nil, err
-	}
-	addr := &syscall.SockaddrInet4{}
-	copy(addr.Addr[:], net.ParseIP(w.ip(150)).To4())
-	if err := syscall.Bind(fd, addr); err != nil {
-		return nil, err
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		return nil, err
-	}
-	bound, err := syscall.Getsockname(fd)
-	if err != nil {
-		return nil, err
-	}
-	t := &target{targetOptions: opt, addr: fmt.Sprintf("%s:%d", w.ip(150), bound.(*syscall.SockaddrInet4).Port), store: w.store, rec: w.rec, started: time.Now()}
-	// The queue of new connections is full from here on, so that opening packets are dropped.
-	for range 2 {
-		go net.DialTimeout("tcp", t.addr, time.Minute)
-	}
-	time.Sleep(100 * time.Millisecond)
-	t.writeEntry()
-	w.rec.addf("target %s is dark", t.id)
-	return t, nil
-}
-
-// sendOrder sends an order on a connection of its own, closes it within leaveWithin, and returns when that
-// was.
-func sendOrder(w *world, n *node, id string, i int) (time.Time, error) {
+// sendAhead pipelines requests on one connection. A client that leaves closes it after leaveAfter, others
+// once they have read for goneDeadline or the connection ends. It returns the requests and when it closed.
+func sendAhead(w *world, n *node, leaves bool) ([]string, time.Time, error) {
 	conn, err := net.Dial("tcp", n.front)
 	if err != nil {
-		return time.Time{}, err
+		return nil, time.Time{}, err
 	}
-	body := strings.Repeat("o", 400)
-	w.rec.addf("client: sends %s to %s", id, n.name)
-	_, err = fmt.Fprintf(conn, "POST /xapu221/ny95/%x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCookie: Affinity-Key=%d\r\nDeadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s", i, host, id, i, len(body), body)
-	if err != nil {
-		return time.Time{}, err
+	defer conn.Close()
+	var head strings.Builder
+	var ids []string
+	for i := range goneRequests {
+		id := newID()
+		ids = append(ids, id)
+		fmt.Fprintf(&head, "GET /archive/%x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCookie: Affinity-Key=%s; session=%s\r\nDeadline-Ms: %d\r\n\r\n",
+			i, host, id, id, strings.Repeat("s", cookieSize), goneDeadline.Milliseconds())
 	}
-	// Clients leave at even steps between 0 and leaveWithin, in an order that is not that of the sends.
-	_ = conn.SetReadDeadline(time.Now().Add(leaveWithin * time.Duration(i*37%orders) / orders))
-	if n, _ := io.ReadAtLeast(conn, make([]byte, 1<<10), 12); n > 0 {
-		w.rec.addf("client: %s is answered", id)
+	w.rec.addf("client: sends %s to %s, %d bytes", strings.Join(ids, ", "), n.name, head.Len())
+	if _, err := io.WriteString(conn, head.String()); err != nil {
+		return ids, time.Now(), err
 	}
-	conn.Close()
-	w.rec.addf("client: %s leaves", id)
-	return time.Now(), nil
+	if leaves {
+		time.Sleep(leaveAfter)
+		conn.Close()
+		w.rec.addf("client: with %s leaves", ids[0])
+		return ids, time.Now(), nil
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(goneDeadline))
+	read, _ := io.Copy(io.Discard, conn)
+	w.rec.addf("client: with %s has read %d bytes", ids[0], read)
+	return ids, time.Now(), nil
 }
 
-// judgeGone counts the requests that reached a target over goneAfter after their client's close.
-func judgeGone(w *world, targets []*target, closed map[string]time.Time) (bool, string, error) {
-	late, all := 0, 0
-	for _, t := range targets {
+// judgeGone counts the requests whose client had left while a target worked on them, that would have run
+// for goneAfter longer, and those of them that a target still worked on then.
+func judgeGone(w *world, closed map[string]time.Time) (bool, string, error) {
+	runs, under, still := 0, 0, 0
+	for _, t := range w.targets {
 		t.mu.Lock()
-		for _, r := range t.arrivals {
-			all++
-			at, ok := closed[r.id]
-			if after := r.at.Sub(at); ok && after > goneAfter {
-				late++
-				w.rec.addf("%s: %s reached it %d ms after its client had left", t.id, r.id, after.Milliseconds())
+		for _, r := range t.runs {
+			runs++
+			at, left := closed[r.id]
+			if !left || r.at.After(at) || r.at.Add(t.work).Before(at.Add(goneAfter)) {
+				continue
+			}
+			under++
+			if end, ended := t.ends[r.id]; !ended || end.After(at.Add(goneAfter)) {
+				still++
 			}
 		}
 		t.mu.Unlock()
 	}
-	if all == 0 {
-		return false, "", fmt.Errorf("no request reached a target")
+	if runs == 0 || w.trouble && under == 0 {
+		return false, "", fmt.Errorf("no request was under way")
 	}
-	return late > goneFew, fmt.Sprintf("GONE: %d of %d orders reached a target over %v after their client had left", late, orders, goneAfter), nil
+	broken := float64(still) > goneShare*float64(under)
+	return broken, fmt.Sprintf("GONE: targets still worked on %d of %d requests %v after their client had left; %d requests were run", still, under, goneAfter, runs), nil
 }
--- a/review/standins-2/target.go
+++ b/review/standins-2/target.go
@@ -45,6 +45,8 @@
 	rec     *record
 	started time.Time
 	slot    chan struct{}
+	srv     *http.Server
+	ended   chan struct{}
 
 	mu       sync.Mutex
 	running  int
@@ -52,6 +54,8 @@
 	sequence int
 	runs     []run
 	arrivals []run
+	// ends holds when the work on each request ended, by its id.
+	ends map[string]time.Time
 }
 
 // startTarget serves a target at a free port of an IP address and writes its entry to the store.
@@ -60,21 +64,35 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &target{targetOptions: opt, addr: l.Addr().String(), store: s, rec: rec, started: time.Now(), slot: make(chan struct{}, opt.slots)}
-	srv := &http.Server{Handler: t, IdleTimeout: targetIdleTimeout}
-	go srv.Serve(l)
+	t := &target{targetOptions: opt, addr: l.Addr().String(), store: s, rec: rec, started: time.Now(), slot: make(chan struct{}, opt.slots), ended: make(chan struct{}), ends: make(map[string]time.Time)}
+	t.srv = &http.Server{Handler: t, IdleTimeout: targetIdleTimeout}
+	go t.srv.Serve(l)
 	go t.beat()
 	return t, nil
 }
 
 // beat writes the target's entry at each heartbeat.
 func (t *target) beat() {
-	t.writeEntry()
-	for range time.Tick(heartbeatInterval) {
+	tick := time.NewTicker(heartbeatInterval)
+	defer tick.Stop()
+	for {
 		t.writeEntry()
+		select {
+		case <-tick.C:
+		case <-t.ended:
+			return
+		}
 	}
 }
 
+// crash ends the target: its port resets, and its entry is gone.
+func (t *target) crash() {
+	close(t.ended)
+	t.srv.Close()
+	t.store.Delete("servers/" + t.id)
+	t.rec.addf("target %s has crashed", t.id)
+}
+
 func (t *target) writeEntry() {
 	t.mu.Lock()
 	t.sequence++
@@ -129,7 +147,9 @@
 	t.mu.Unlock()
 	select {
 	case <-time.After(t.work):
+		t.end(id, "has done")
 	case <-r.Context().Done():
+		t.end(id, "drops")
 		return
 	}
 	body := strings.Repeat(string('a'+byte(len(id)%26)), t.size)
@@ -139,6 +159,14 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// end records the end of the work on a request.
+func (t *target) end(id, how string) {
+	t.rec.addf("%s: %s %s", t.id, how, id)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ends[id] = time.Now()
+}
+
 // enter takes a slot, or waits in the queue for one. It returns false if the queue is full or the
 // caller has left.
 func (t *target) enter(r *http.Request) bool {
