--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,4 +7,4 @@
 	echo "not run: build the deploy file's programs, then run review/build-2.sh"
 	exit 2
 fi
-exec target/review-2/standins-2 lost "$dir/record.txt"
+exec target/review-2/standins-2 quota "$dir/record.txt"
--- a/review/standins-2/cold.go
+++ b/review/standins-2/cold.go
@@ -25,7 +25,7 @@
 )
 
 // playCold has the targets of a service come back cold while the store turns one of three nodes away and
-// serves the others. It is no case of its own: what breaks the rule is what breaks that of case 4.
+// serves the others. It is no case of its own: what breaks the rule is what breaks that of case 5.
 func playCold(w *world) (bool, string, error) {
 	zones := []zone{{"mus-a", "muscat"}, {"mus-b", "muscat"}, {"soh-a", "sohar"}}
 	w.store.Put("op/config", config(map[string]any{"r-1": route("/lepu270/", "safe", "huvo11a", 2, 0.5)}, map[string]any{"huvo11a": service()}))
@@ -42,7 +42,7 @@
 		sending.Add(1)
 		go func() {
 			defer sending.Done()
-			c := newClient(w.rec, n)
+			c := newClient(w.rec, n, w.nodes)
 			for i := 0; time.Since(began) < coldLength; i++ {
 				time.Sleep(time.Second / coldDemand)
 				sending.Add(1)
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -27,6 +27,7 @@
 // cases are the cases by name. Each returns whether the rule was broken and a sentence on what was seen.
 var cases = map[string]func(w *world) (bool, string, error){
 	"quota": playQuota,
+	"stale": playStale,
 	"cold":  playCold,
 	"gone":  playGone,
 	"lost":  playLost,
--- a/review/standins-2/quota.go
+++ b/review/standins-2/quota.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// The tenant's limit, and what its clients send to each of the three nodes: usually, and while it is hot.
+// The tenant's limit, and what its clients in each of the three zones send: usually, and while it is hot.
 const (
 	quotaRate    = 200.0
 	quotaBurst   = 200.0
@@ -62,9 +62,9 @@
 	return judgeQuota(w, began)
 }
 
-// sendTenant sends the tenant's requests to a node.
+// sendTenant sends the tenant's requests from the zone of a node.
 func sendTenant(w *world, n *node, began time.Time, sending *sync.WaitGroup) {
-	c := newClient(w.rec, n)
+	c := newClient(w.rec, n, w.nodes)
 	for i := 0; time.Since(began) < quotaLength; i++ {
 		demand := usualDemand
 		if at := time.Since(began); at >= hotAt && at < hotAt+hotTime {
