review: stand-ins end nodes also when a play is stopped while they start

Seen: four nodes were left by two plays that got SIGTERM within a second of their start. Nodes are started under a lock and none after the end. Tried: SIGTERM after 5 to 500 ms, seven plays, none left.

--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"time"
 )
 
@@ -22,8 +24,12 @@
 	net     string
 	store   *store
 	doors   []*door
-	nodes   []*node
 	targets []*target
+
+	// mu guards nodes while they are started. No more are started once ended is set.
+	mu    sync.Mutex
+	nodes []*node
+	ended bool
 }
 
 func newWorld(trouble bool) (*world, error) {
@@ -59,6 +65,9 @@
 
 // end ends the processes and removes the files.
 func (w *world) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
 	for _, n := range w.nodes {
 		n.kill()
 	}
@@ -92,13 +101,10 @@
 			return err
 		}
 		w.doors = append(w.doors, d)
-		n, err := startNode(w.rec, w.dir, nodeOptions{
-			name: fmt.Sprintf("edge-%s-%d", z.name, i+1), zone: z, zones: zones, ip: w.ip(1 + i), store: d.addr, bounds: bounds,
-		})
-		if err != nil {
+		opt := nodeOptions{name: fmt.Sprintf("edge-%s-%d", z.name, i+1), zone: z, zones: zones, ip: w.ip(1 + i), store: d.addr, bounds: bounds}
+		if err := w.addNode(opt); err != nil {
 			return err
 		}
-		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
 		if err := n.waitReady(); err != nil {
@@ -109,6 +115,21 @@
 	return nil
 }
 
+// addNode starts a node unless the play has ended.
+func (w *world) addNode(opt nodeOptions) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return errors.New("the play has ended")
+	}
+	n, err := startNode(w.rec, w.dir, opt)
+	if err != nil {
+		return err
+	}
+	w.nodes = append(w.nodes, n)
+	return nil
+}
+
 // smallBounds are the bounds of the users' small deployments.
 var smallBounds = []string{
 	"seedLagS=3", "reuseAfterS=2", "contactS=4", "ackS=4", "catchUpS=4", "drainS=2.5", "graceS=6", "lossSlackS=0.2",
