--- a/internal/node/apply_test.go
+++ b/internal/node/apply_test.go
@@ -129,3 +129,30 @@
 		route.Nearest(n.LookupMembers(), "r0", "d0", nil)
 	}
 }
+
+// BenchmarkFirstRequestAfterLull measures what the requests wait that arrive after a lull in which one
+// upstream has changed, until the snapshot is compiled and in force.
+func BenchmarkFirstRequestAfterLull(b *testing.B) {
+	for _, upstreams := range []int{1617, 10000} {
+		b.Run(fmt.Sprint(upstreams, " upstreams"), func(b *testing.B) {
+			n := largeNode()
+			n.Apply(func(v *view.View, _ time.Time) {
+				for i := range upstreams {
+					v.PutUpstream(largeUpstream(i))
+				}
+			})
+			n.activate()
+			b.ResetTimer()
+			for i := range b.N {
+				n.Apply(func(v *view.View, _ time.Time) {
+					u := largeUpstream(i % upstreams)
+					u.Slots += i % 2
+					v.PutUpstream(u)
+				})
+				n.mu.Lock()
+				n.compile()
+				n.mu.Unlock()
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,9 +71,10 @@
 	synced atomic.Bool
 	// routes is the table of the configuration; nil until the node is synced and there is one.
 	routes atomic.Pointer[model.Routes]
-	// outdated is set while the view has changed since the snapshot in force was compiled.
+	// outdated is set while a change of the view waits for the next request to be compiled, until the
+	// snapshot with it is in force.
 	outdated atomic.Bool
-	// changedSince is when outdated was last set. mu guards it.
+	// changedSince is when the first change came that the snapshot in force lacks. mu guards it.
 	changedSince time.Time
 	// activeAt is when the snapshot was last needed, in Unix nanoseconds.
 	activeAt atomic.Int64
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -13,12 +13,14 @@
 		return
 	}
 	n.routes.Store(n.view.Routes())
-	if !n.outdated.Swap(true) {
+	if !n.outdated.Load() {
 		n.changedSince = n.now()
 	}
 	if n.needsSnapshot() {
 		n.compile()
+		return
 	}
+	n.outdated.Store(true)
 }
 
 // needsSnapshot reports whether a change of the view must be compiled at once. n.mu must be held.
@@ -31,15 +33,17 @@
 	return n.Entry.Proxy.InFlight() == 0 && n.now().UnixNano()-n.activeAt.Load() >= int64(quietAfter)
 }
 
-// compile compiles the view into a snapshot and passes it to the proxy. n.mu must be held.
+// compile compiles the view into a snapshot and puts it in force. Requests that arrive meanwhile at a
+// node that is outdated wait for that: the snapshot in force may have been replaced long ago. n.mu must
+// be held.
 func (n *Node) compile() {
 	s := n.view.Snapshot(n.now())
 	if s == nil {
 		return
 	}
-	n.outdated.Store(false)
 	s.ChangedSince = n.changedSince
 	n.Entry.Proxy.Update(s)
+	n.outdated.Store(false)
 }
 
 // activate records that the snapshot is needed, and brings it up to date.
