pipeline, node: a stopping node begins nothing behind an unanswered request

Cause: requests of a connection are passed on side by side and answered in order. A stopping node went on doing so until its process ended, so that the answers to what stood behind a request that took longer than the grace period ended with it.

Change: from SIGTERM on, what stands behind an unanswered request stays unread. What was begun before may still stand behind a long one: half a second before the kill the requests that are left end as by their deadline and are answered, so that the answers behind them leave. entry.Entry.Stop does the same. A lane is counted before the server looks whether it drains, so that Drain can not miss it.

Conclusion: a stopping node answers all that it has passed on, but for answers that are being streamed when it ends. What it costs callers that pipeline is measured next.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -55,9 +55,6 @@
 	// dialTimeout limits the wait for a connection to an upstream. The round-trip time
 	// between the regions farthest apart is about 0.2 s.
 	dialTimeout = 700 * time.Millisecond
-	// drainTimeout limits the wait of a stopping process for answers that are complete and wait
-	// for their turn on their connections.
-	drainTimeout = 200 * time.Millisecond
 )
 
 func main() {
@@ -173,12 +170,7 @@
 		n.Apply(func(v *view.View, _ time.Time) { v.SetPolicy(policy(next.Bounds)) })
 	})
 	<-stopCtx.Done()
-	n.Stop(time.Duration(grace.Load()))
-	drainCtx, cancelDrain := context.WithTimeout(ctx, drainTimeout)
-	defer cancelDrain()
-	if err := callers.Drain(drainCtx); err != nil {
-		klog.InfoS("stopped with answers that waited for their turn", "err", err)
-	}
+	n.Stop(time.Duration(grace.Load()), callers)
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -193,6 +193,8 @@
 
 // Shutdowner is a server that Stop shuts down.
 type Shutdowner interface {
+	// BeginDrain makes the server begin no request behind one that is not answered yet.
+	BeginDrain()
 	// Shutdown stops accepting requests and waits for those in flight until ctx ends.
 	Shutdown(ctx context.Context) error
 }
@@ -208,14 +210,20 @@
 	Agent Reporter
 }
 
+// expireMargin is how long before the end of StopOptions.Timeout requests that are left are ended and
+// answered.
+const expireMargin = 300 * time.Millisecond
+
 // Stop performs a planned stop. It reports to the agent that the entry is leaving, so
 // that look-ups no longer return the entry. For the time Linger it still accepts
-// requests, from callers with older answers; then it rejects new requests as not run, and
-// shuts the server down once the requests in flight have ended. It returns the error of
-// the shutdown, for example that requests were still in flight after Timeout.
+// requests, from callers with older answers, but none that stands behind an unanswered one on its
+// connection; then it rejects new requests as not run, and shuts the server down once the requests in
+// flight have ended. Those that are left expireMargin before the end of Timeout are ended. It returns
+// the error of the shutdown, for example that answers were still being sent after Timeout.
 func (e *Entry) Stop(ctx context.Context, srv Shutdowner, opt StopOptions) error {
 	klog.InfoS("stopping", "linger", opt.Linger)
 	e.leaving.Store(true)
+	srv.BeginDrain()
 	if err := e.report(ctx, opt.Agent, true); err != nil {
 		klog.ErrorS(err, "failed to report the stop to the agent")
 	}
@@ -226,6 +234,8 @@
 	e.Proxy.Stop()
 	ctx, cancel := context.WithTimeout(ctx, opt.Timeout)
 	defer cancel()
+	expire := time.AfterFunc(max(opt.Timeout/2, opt.Timeout-expireMargin), e.Proxy.ExpireRequests)
+	defer expire.Stop()
 	err := srv.Shutdown(ctx)
 	klog.InfoS("stopped", "in_flight", e.Proxy.InFlight(), "err", err)
 	return err
--- a/internal/entry/report_test.go
+++ b/internal/entry/report_test.go
@@ -50,6 +50,9 @@
 // closedServer is a Shutdowner without requests in flight.
 type closedServer struct{}
 
+// BeginDrain implements Shutdowner.
+func (closedServer) BeginDrain() {}
+
 // Shutdown implements Shutdowner.
 func (closedServer) Shutdown(context.Context) error { return nil }
 
--- a/internal/forward/deadline.go
+++ b/internal/forward/deadline.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// expireAll ends all contexts as if their deadlines had passed.
+func (d *deadlineSet) expireAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for e := range d.active {
+		e.expire()
+	}
+}
+
 // expire ends the contexts whose deadline is not after now.
 func (d *deadlineSet) expire(now time.Time) {
 	d.mu.Lock()
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -287,6 +287,10 @@
 // Stop makes the Proxy reject new requests. Requests in flight continue.
 func (p *Proxy) Stop() { p.stopping.Store(true) }
 
+// ExpireRequests ends all requests in flight as if their deadlines had passed. Each is answered, and
+// so are those whose answers wait behind it, before the process ends.
+func (p *Proxy) ExpireRequests() { p.deadlines.expireAll() }
+
 // InFlight returns the number of requests that the entry is handling.
 func (p *Proxy) InFlight() int { return int(p.inFlight.Load()) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,7 +29,7 @@
 	expireInterval = 250 * time.Millisecond
 	// drainPollInterval is the time between checks of a stopping node for requests in
 	// flight.
-	drainPollInterval = 50 * time.Millisecond
+	drainPollInterval = 10 * time.Millisecond
 	// linger is how long a stopping node still accepts requests. Callers keep look-up
 	// answers with this node for about as long.
 	linger = 3 * time.Second
@@ -38,8 +38,12 @@
 	// return few of the nodes, and upstreams change every second.
 	quietAfter = 2 * time.Second
 	// killMargin is how long before the end of the grace period, at which the process is
-	// killed, a stopping node ends by itself.
+	// killed, a stopping node ends the requests that are left.
 	killMargin = 500 * time.Millisecond
+	// replyTime limits the wait for the answers to these, and drainTimeout the wait for answers that
+	// are complete and wait for their turn on their connections.
+	replyTime    = 100 * time.Millisecond
+	drainTimeout = 200 * time.Millisecond
 )
 
 // Node is the state of one process: a view of the fleet, and the entry that forwards
@@ -175,22 +179,45 @@
 	})
 }
 
+// Drainer is the server of callers' requests.
+type Drainer interface {
+	// BeginDrain makes the server begin no request behind one that is not answered yet.
+	BeginDrain()
+	// Drain waits until all answers have been sent, or until ctx ends.
+	Drain(ctx context.Context) error
+}
+
 // Stop performs a planned stop within the time grace. Look-ups no longer return the node,
 // and limited and cold upstreams get no more requests from it. Requests are still
 // accepted for the time linger, or half of grace if that is shorter, and later ones are
-// rejected as not run. Stop returns when the last request has ended, at the latest
-// killMargin before the end of grace.
-func (n *Node) Stop(grace time.Duration) {
+// rejected as not run. Requests that callers have sent behind unanswered ones stay unread: the node may
+// end before it could answer them, and callers may repeat what was not passed on. killMargin before the
+// end of grace the requests that are left are ended and answered. Stop returns when callers has sent
+// all answers, and before the end of grace.
+func (n *Node) Stop(grace time.Duration, callers Drainer) {
 	klog.InfoS("stopping", "grace", grace)
 	began := n.now()
 	n.stopping.Store(true)
+	callers.BeginDrain()
 	n.updateMember(began)
 	time.Sleep(min(linger, grace/2))
 	n.Entry.Proxy.Stop()
-	for n.Entry.Proxy.InFlight() > 0 && n.now().Sub(began) < grace-killMargin {
+	end := began.Add(grace - killMargin)
+	n.waitForRequests(end)
+	expired := n.Entry.Proxy.InFlight()
+	n.Entry.Proxy.ExpireRequests()
+	n.waitForRequests(end.Add(replyTime))
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	err := callers.Drain(ctx)
+	klog.InfoS("stopped", "expired", expired, "in_flight", n.Entry.Proxy.InFlight(), "took", n.now().Sub(began), "err", err)
+}
+
+// waitForRequests waits until no request is in flight, at most until a time.
+func (n *Node) waitForRequests(until time.Time) {
+	for n.Entry.Proxy.InFlight() > 0 && n.now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
-	klog.InfoS("stopped", "in_flight", n.Entry.Proxy.InFlight(), "took", n.now().Sub(began))
 }
 
 // Rollouts returns the rollouts that operators ordered.
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -105,11 +105,15 @@
 	return Status{s.takenOver.Load(), s.served.Load(), s.refused.Load(), s.open.Load(), s.waiting.Load()}
 }
 
+// BeginDrain ends the serving side by side: from now on no request is begun behind one that is not
+// answered yet. A process that stops may not live to send the answers.
+func (s *Server) BeginDrain() { s.draining.Store(true) }
+
 // Drain ends the serving side by side and waits until those requests have been answered. It returns
 // the error of ctx if some are left. It is called before http.Server.Shutdown, after which the first
 // answer of a connection closes it.
 func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
+	s.BeginDrain()
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
 	for s.open.Load() > 0 {
@@ -122,14 +126,16 @@
 	return nil
 }
 
-// reserveLane reports whether a further request may be served side by side, and counts it.
+// reserveLane reports whether a further request may be served side by side, and counts it. It counts
+// the request before it looks whether the Server drains, so that Drain waits for every lane that begins.
 func (s *Server) reserveLane() bool {
-	if s.draining.Load() {
-		return false
+	full := s.open.Add(1) > maxLanes
+	draining := s.draining.Load()
+	if full && !draining {
+		s.refused.Add(1)
 	}
-	if s.open.Add(1) > maxLanes {
+	if full || draining {
 		s.open.Add(-1)
-		s.refused.Add(1)
 		return false
 	}
 	return true
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -149,6 +149,14 @@
 	return s.http.Shutdown(ctx)
 }
 
+// BeginDrain ends the serving of pipelined requests side by side: what stands behind a request that is
+// not answered yet stays unread.
+func (s *Server) BeginDrain() {
+	if s.pipeline != nil {
+		s.pipeline.BeginDrain()
+	}
+}
+
 // Drain ends the serving of pipelined requests side by side and waits until those in progress have
 // been answered. It returns the error of ctx if some are left.
 func (s *Server) Drain(ctx context.Context) error {
