forward: a connection never carries a request again that failed on it

Change: the connection remembers the requests that were answered with an error status, and the pool never gives it one of them again, whichever way it comes. After 64 of them it is closed. The rule for one call is part of this and is removed. The line "node started" has the revision of the build, so that a run elsewhere tells which code it ran.

Conclusion: a refusal is believed only from a connection that has carried the request once.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -144,7 +144,7 @@
 	if err := serveRelay(ctx, s.PeerAddress, feed.RelayServer()); err != nil {
 		return err
 	}
-	klog.InfoS("node started", "id", s.ID, "entry", s.EntryAddress, "store", s.Store.Address)
+	klog.InfoS("node started", "version", process.Version, "revision", process.Revision(), "id", s.ID, "entry", s.EntryAddress, "store", s.Store.Address)
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
 	go feed.Run(runCtx)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -84,9 +84,6 @@
 		sending, done = p.abandonable.add(ctx)
 		defer done()
 	}
-	if !cl.sent.add(to.Address) {
-		sending = withNewConnection(sending)
-	}
 	balancer := p.serviceState(cl.service.Name).balancer
 	writes := &writeTracker{accepts: func() bool { return balancer.Accepts(p.now(), to) }}
 	resp, verr := p.roundTrip(ctx, sending, writes, r, cl, to.Address, func(h http.Header) {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -52,8 +52,6 @@
 	body       *replayBody
 	// writer is where the response goes.
 	writer http.ResponseWriter
-	// sent holds the addresses to which the request was sent.
-	sent addressSet
 	// tried holds the IDs of upstreams that must not get the request again.
 	tried []string
 	// headKeys are the request's poison keys without the body.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 	// before it has read the whole body.
 	maxInlineBody  = 8 << 10
 	connBufferSize = 4 << 10
+	// maxFailed is the number of requests that may be answered with an error status before the
+	// connection is closed.
+	maxFailed = 64
 )
 
 var (
@@ -51,6 +55,8 @@
 	// idleSince is when the connection was last returned to the pool; zero if it never was.
 	idleSince time.Time
 	closed    atomic.Bool
+	// failed has the IDs of the requests that were answered with an error status.
+	failed []string
 }
 
 func newUpstreamConn(p *Pool, addr string, conn *trackedConn, raw syscall.Conn) *upstreamConn {
@@ -107,7 +113,8 @@
 		return nil, err
 	}
 	b := &responseBody{ReadCloser: resp.Body, conn: c, stop: stop, sent: sent}
-	b.reuse = !resp.Close && !stale && !closeDelimited(resp) && c.pool.opt.Identified(resp)
+	c.recordStatus(req, resp)
+	b.reuse = !resp.Close && !stale && !closeDelimited(resp) && c.pool.opt.Identified(resp) && len(c.failed) < maxFailed
 	empty := resp.ContentLength == 0 || resp.Body == http.NoBody
 	if timeout, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = timeout
@@ -119,6 +126,18 @@
 	return resp, nil
 }
 
+// recordStatus records a request that was answered with an error status. The connection never carries
+// it again: a late copy of the answer, such as a refusal, could not be told from the answer to the
+// second send by the ID, which is the same.
+func (c *upstreamConn) recordStatus(req *http.Request, resp *http.Response) {
+	if id := c.pool.opt.SentID(req); id != "" && resp.StatusCode >= http.StatusBadRequest {
+		c.failed = append(c.failed, id)
+	}
+}
+
+// hasFailed reports whether the request with an ID was answered with an error status.
+func (c *upstreamConn) hasFailed(id string) bool { return id != "" && slices.Contains(c.failed, id) }
+
 // send writes the request. It returns a channel that receives the result of sending a long
 // body, or nil if the request has been sent completely.
 func (c *upstreamConn) send(req *http.Request) (<-chan error, error) {
--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -160,6 +160,9 @@
 // with a different ID.
 func (Native) Matches(*http.Response, *http.Request) bool { return true }
 
+// SentID implements Protocol.
+func (Native) SentID(req *http.Request) string { return req.Header.Get(header.RequestID) }
+
 // Identified implements Protocol. It returns true for all responses, so that connections to
 // upstreams that do not echo the request ID can be reused.
 func (Native) Identified(*http.Response) bool { return true }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +49,9 @@
 	// Matches reports whether a response belongs to a request; nil means that every response
 	// does.
 	Matches func(*http.Response, *http.Request) bool
+	// SentID returns the ID by which Matches recognises the responses to a request; nil means that
+	// requests have none.
+	SentID func(*http.Request) string
 	// Identified reports whether a late copy of a response could be recognised. After a response of
 	// which it could not, the connection is closed. nil means that every copy could.
 	Identified func(*http.Response) bool
@@ -75,6 +79,9 @@
 	if opt.Matches == nil {
 		opt.Matches = func(*http.Response, *http.Request) bool { return true }
 	}
+	if opt.SentID == nil {
+		opt.SentID = func(*http.Request) string { return "" }
+	}
 	if opt.Identified == nil {
 		opt.Identified = func(*http.Response) bool { return true }
 	}
@@ -101,7 +108,7 @@
 // RoundTrip implements http.RoundTripper.
 func (p *Pool) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
-	c, err := p.get(ctx, req.URL.Host)
+	c, err := p.get(ctx, req.URL.Host, p.opt.SentID(req))
 	if err != nil {
 		return nil, err
 	}
@@ -123,13 +130,13 @@
 	return resp, nil
 }
 
-// get returns a usable idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context, addr string) (*upstreamConn, error) {
+// get returns a usable idle connection for the request with an ID, or opens a new one.
+func (p *Pool) get(ctx context.Context, addr, id string) (*upstreamConn, error) {
 	for {
 		if needsNewConnection(ctx) {
 			return p.dial(ctx, addr)
 		}
-		c := p.pop(addr, p.idleCutoff(ctx))
+		c := p.pop(addr, id, p.idleCutoff(ctx))
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -151,19 +158,19 @@
 	return now.Add(-limit.MaxConnIdle)
 }
 
-// pop removes and returns the most recently used idle connection, or nil if it became idle
-// before the time after.
-func (p *Pool) pop(addr string, after time.Time) *upstreamConn {
+// pop removes and returns the most recently used idle connection on which the request with an ID has
+// not failed before. It returns nil if there is none, or if that one became idle before the time after.
+func (p *Pool) pop(addr, id string, after time.Time) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 || list[len(list)-1].idleSince.Before(after) {
-		return nil
+	for i := len(list) - 1; i >= 0 && !list[i].idleSince.Before(after); i-- {
+		if c := list[i]; !c.hasFailed(id) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*upstreamConn, error) {
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -113,6 +115,100 @@
 	}
 }
 
+// newIdentifyingPool returns a pool for upstreams that name the request in most of their answers.
+func newIdentifyingPool() *Pool {
+	return NewPool(PoolOptions{
+		Now: time.Now,
+		Matches: func(resp *http.Response, req *http.Request) bool {
+			echo := resp.Header.Get(idHeader)
+			return echo == "" || echo == req.Header.Get(idHeader)
+		},
+		SentID:     func(req *http.Request) string { return req.Header.Get(idHeader) },
+		Identified: func(resp *http.Response) bool { return resp.Header.Get(idHeader) != "" },
+	})
+}
+
+// TestRefusalIsBelievedOnceOnAConnection guards against requests that run twice because a copy of a
+// refusal is taken for the answer to a later send of the same request, by whichever way that comes to
+// the connection: a retry, or a caller that repeats a request under its ID. The upstream refuses
+// request a, and sends copies of that before, with or after its next answers on the connection.
+func TestRefusalIsBelievedOnceOnAConnection(t *testing.T) {
+	refusal := func(status, id string) string {
+		return "HTTP/1.1 " + status + "\r\n" + idHeader + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, status := range []string{"429 Too Many Requests", "503 Service Unavailable", "421 Misdirected Request"} {
+		for name, tt := range map[string]struct {
+			// first follows the refusal, later precedes each answer on the connection after it.
+			first, later string
+			// between are the requests between the two sends of request a.
+			between []string
+		}{
+			"no copy":                     {"", "", nil},
+			"at once":                     {refusal(status, "a"), "", nil},
+			"before the next answer":      {"", refusal(status, "a"), nil},
+			"twice":                       {refusal(status, "a"), refusal(status, "a"), nil},
+			"after an interim answer":     {"", "HTTP/1.1 103 Early Hints\r\n\r\n" + refusal(status, "a"), nil},
+			"behind other requests":       {"", refusal(status, "a"), []string{"b", "c"}},
+			"behind another refused one":  {"", refusal(status, "a"), []string{"refused-b", "c"}},
+			"half a head, then a refusal": {"", "HTTP/1.1 429 Too Ma", []string{"b"}},
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				var refused sync.Map
+				s := newScriptedUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+					later := ""
+					for {
+						id, err := readRequest(r)
+						if err != nil {
+							return
+						}
+						_, again := refused.LoadOrStore(id, true)
+						if !again && (id == "a" || strings.HasPrefix(id, "refused")) {
+							io.WriteString(c, later+refusal(status, id)+tt.first)
+							later = tt.later
+							continue
+						}
+						io.WriteString(c, later+answerTo(id))
+					}
+				})
+				p := newIdentifyingPool()
+				for i, id := range slices.Concat([]string{"a"}, tt.between, []string{"a"}) {
+					want := id
+					if i == 0 || strings.HasPrefix(id, "refused") {
+						want = ""
+					}
+					got, err := s.send(t, p, id, "/", nil, 0)
+					if broken := err != nil && id == "b"; got != want && !broken {
+						t.Errorf("send %d of request %s got %q, %v", i, id, got, err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestConnectionWithManyFailuresIsClosed has an upstream answer every request with an error: the number
+// of requests that a connection remembers is bounded.
+func TestConnectionWithManyFailuresIsClosed(t *testing.T) {
+	s := newScriptedUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\n"+idHeader+": "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newIdentifyingPool()
+	for i := range maxFailed + 1 {
+		if _, err := s.send(t, p, fmt.Sprint(i), "/", nil, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(s.conns); n != 2 {
+		t.Errorf("%d connections for %d failed requests, want 2", n, maxFailed+1)
+	}
+}
+
 // TestUnidentifiedRefusalIsNotTakenForAnotherAnswer makes an upstream refuse a request without naming
 // it, and refuse it a second time before it answers the next request on the connection.
 func TestUnidentifiedRefusalIsNotTakenForAnotherAnswer(t *testing.T) {
@@ -135,14 +231,7 @@
 			io.WriteString(c, answerTo(id))
 		}
 	})
-	p := NewPool(PoolOptions{
-		Now: time.Now,
-		Matches: func(resp *http.Response, req *http.Request) bool {
-			echo := resp.Header.Get(idHeader)
-			return echo == "" || echo == req.Header.Get(idHeader)
-		},
-		Identified: func(resp *http.Response) bool { return resp.Header.Get(idHeader) != "" },
-	})
+	p := newIdentifyingPool()
 	if got, err := s.send(t, p, "a", "/", nil, 0); got != "" || err != nil {
 		t.Errorf("the refused request got %q, %v", got, err)
 	}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -34,6 +34,9 @@
 	// Matches reports whether a response belongs to a request. A response that does not is a
 	// late response to an earlier request on the same connection.
 	Matches(resp *http.Response, req *http.Request) bool
+	// SentID returns the ID that the responses to a request carry, as Matches compares it; empty if
+	// the request has none.
+	SentID(req *http.Request) string
 	// Identified reports whether a late copy of a response could be recognised by Matches.
 	Identified(resp *http.Response) bool
 }
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -173,7 +173,7 @@
 		opt.Protocol = Native{}
 	}
 	if opt.Transport == nil {
-		opt.Transport = NewPool(PoolOptions{TLS: opt.TLS, DialTimeout: opt.DialTimeout, Now: opt.Now, Matches: opt.Protocol.Matches, Identified: opt.Protocol.Identified})
+		opt.Transport = NewPool(PoolOptions{TLS: opt.TLS, DialTimeout: opt.DialTimeout, Now: opt.Now, Matches: opt.Protocol.Matches, SentID: opt.Protocol.SentID, Identified: opt.Protocol.Identified})
 	}
 	if opt.SyncNow == nil {
 		opt.SyncNow = opt.Now
--- a/internal/forward/reuse.go
+++ b/internal/forward/reuse.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 )
@@ -112,22 +111,3 @@
 func needsNewConnection(ctx context.Context) bool { return ctx.Value(newConnectionKey{}) != nil }
 
 func isNonIdempotent(ctx context.Context) bool { return ctx.Value(nonIdempotentKey{}) != nil }
-
-// addressSet holds the addresses to which a call was sent. A call that is sent to an address again
-// needs a new connection: a late copy of the first response could not be told from the second
-// response by the request ID, which is the same. It is safe for concurrent use.
-type addressSet struct {
-	mu    sync.Mutex
-	addrs []string
-}
-
-// add adds an address and reports whether it was missing.
-func (s *addressSet) add(addr string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if slices.Contains(s.addrs, addr) {
-		return false
-	}
-	s.addrs = append(s.addrs, addr)
-	return true
-}
--- a/internal/forward/suspended_test.go
+++ b/internal/forward/suspended_test.go
@@ -91,7 +91,7 @@
 	}
 	clock.suspend(2 * defaultIdleTimeout)
 	clock.SyncNow()
-	if c := pool.pop(addr, time.Time{}); c == nil || clock.Now().Before(c.idleDeadline) {
+	if c := pool.pop(addr, "", time.Time{}); c == nil || clock.Now().Before(c.idleDeadline) {
 		t.Error("a connection that was idle during the suspension has not expired")
 	}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -31,6 +31,30 @@
 // Version is the version of all commands.
 const Version = "0.1.0"
 
+// Revision returns the revision of the source that the program was built from, with "+changes" if the
+// source was changed after it; "unknown" if the build did not record it.
+func Revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return revisionOf(info.Settings)
+}
+
+// revisionOf returns the revision that the settings of a build hold.
+func revisionOf(settings []debug.BuildSetting) string {
+	revision, suffix := "unknown", ""
+	for _, s := range settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			suffix = "+changes"
+		}
+	}
+	return revision + suffix
+}
+
 // Limits of every Server.
 const (
 	headerTimeout  = 10 * time.Second
