--- a/internal/quota/sources.go
+++ b/internal/quota/sources.go
@@ -128,7 +128,8 @@
 }
 
 // reportersOf returns the reporters of a source whose reports count, and the weight that they
-// cover together, which exceeds that of the source if they know of entries that this one does not. For a Complete source only the reporter that covers the most counts.
+// cover together, which exceeds that of the source if they know of entries that this one does not. For
+// a Complete source only the reporter that covers the most counts.
 func (s *sources) reportersOf(src Source, now time.Time) (names []string, covered int) {
 	for name, r := range s.reporters {
 		switch {
