forward: what a verdict "not run" rests on is told for each request

Cause: for a request that was refused though it ran, neither logs nor metrics could tell which answer of which upstream on which connection had been believed, or whether a peer gave the promise.

Change: each attempt of a request that may run only once and that counts as not run leaves evidence: upstream, connection, place of the request on it, status, whether the answer names the request. It is in the log line of the request and, for the latest 256, in the state dump; a metric counts the answers. No decision changes.

--- a/cmd/loomkeel-node/main.go
+++ b/cmd/loomkeel-node/main.go
@@ -243,6 +243,7 @@
 	metrics.Publish("buffers", func() any { return n.Entry.Proxy.BufferStatus() })
 	metrics.Publish("limits", func() any { return n.OrganisationLimits() })
 	metrics.Publish("upstream_announcements", func() any { return n.Entry.Proxy.AnnouncementCounts() })
+	metrics.Publish("refusing_answers", func() any { return n.Entry.Proxy.RefusalCounts() })
 	metrics.Publish("region_shares", func() any { return n.Entry.Proxy.RegionShares() })
 	metrics.Publish("second_sends", func() any { return n.Entry.Proxy.HedgeCounts() })
 	metrics.Publish("upstream_limits", func() any { return n.UpstreamLimits() })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,7 @@
 	klog.InfoS("request", "kind", k, "id", o.ID, "organisation", o.Organisation, "service", o.Service, "route", o.Route, "version", o.Version,
 		"status", o.Status, "verdict", o.Verdict, "reason", o.Reason, "detail", o.Detail, "took", o.Duration, "attempts", o.Attempts, "second_send", o.SecondSend, "peer", o.Peer, "handover_from", o.HandoverFrom,
 		"upstream", o.Choice.ID, "region", o.Choice.Region, "rank", o.Choice.Rank, "warm", o.Choice.Warm,
-		"ahead", o.Choice.Outstanding, "expected", o.Choice.ExpectedLatency, "load", o.Response.Load, "waiting", o.Response.Waiting, "left_out", suppressed)
+		"ahead", o.Choice.Outstanding, "expected", o.Choice.ExpectedLatency, "load", o.Response.Load, "waiting", o.Response.Waiting, "evidence", o.Evidence, "left_out", suppressed)
 }
 
 // kindSecondReplica is the kind of the requests that were served in time, but not by the
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -92,11 +92,13 @@
 	p.recordReach(&to.Upstream, sent, writes.newConnection(), verr)
 	p.reach.EndAttempt(verr != nil && verr.Verdict != verdict.NotRun)
 	if verr != nil {
+		p.recordUnsent(cl, to.ID, verr)
 		return nil, verr
 	}
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
 	observed := p.observe(balancer, cl, to, info.Announcement)
 	if info.NotRunReason != "" {
+		p.recordRefusing(cl, to.ID, writes, resp, info)
 		e := verdict.New(verdict.NotRun, info.NotRunReason, fmt.Errorf("upstream answered %s", resp.Status))
 		discard(resp)
 		return &upstreamResponse{info: info, observed: observed}, e
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -63,8 +63,9 @@
 	failedRegion string
 	// handover says which entry handed the request over to this one; nil if none did.
 	handover *handover
-	// outcome joins the verdicts of the attempts so far.
-	outcome verdict.Verdict
+	// outcome joins the verdicts of the attempts so far, and evidence is what those that are NotRun rest on.
+	outcome  verdict.Verdict
+	evidence []Evidence
 }
 
 // newCall returns the call for a request to svc. Limits of the request's route take precedence
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -47,9 +47,7 @@
 	br  *bufio.Reader
 	bw  *bufio.Writer
 	// limit limits the size of a response header.
-	limit *io.LimitedReader
-	// requestCount is the number of requests sent on the connection.
-	requestCount int
+	limit        *io.LimitedReader
 	idleTimeout  time.Duration
 	idleDeadline time.Time
 	// idleSince is when the connection was last returned to the pool; zero if it never was.
@@ -100,8 +98,8 @@
 // body the connection returns to the pool or is closed.
 func (c *upstreamConn) roundTrip(req *http.Request) (*http.Response, error) {
 	stop := context.AfterFunc(req.Context(), c.close)
-	first := c.requestCount == 0
-	c.requestCount++
+	first := c.requests == 0
+	c.requests++
 	sent, err := c.send(req)
 	if err != nil {
 		stop()
--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -113,6 +113,7 @@
 	}
 	out.Draining = resp.Header.Get(header.State) == header.StateDraining
 	echo := resp.Header.Get(header.RequestID)
+	out.Identified = echo != "" && echo == info.ID
 	switch {
 	case slices.Contains(svc.NotRunStatuses, resp.StatusCode):
 		out.NotRunReason = ReasonShed
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -113,7 +113,7 @@
 		return nil, err
 	}
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
-		trace.GotConn(httptrace.GotConnInfo{Conn: c.trackedConn, Reused: c.requestCount > 0})
+		trace.GotConn(httptrace.GotConnInfo{Conn: c.trackedConn, Reused: c.requests > 0})
 	}
 	sent := p.opt.Now()
 	resp, err := c.roundTrip(req)
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -80,6 +80,8 @@
 type ResponseInfo struct {
 	// NotRunReason is the reason why the upstream did not run the request; empty if it ran it.
 	NotRunReason string
+	// Identified is set if the response names the request by its ID.
+	Identified bool
 	// InvalidReason is the reason why the response must not be passed on; empty if it is valid.
 	InvalidReason string
 	// Announcement is what the response says about its upstream. It is balance.NoAnnouncement for a
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -113,6 +113,9 @@
 	// SecondSend is "won" if the request was sent to a second upstream while the first had not answered
 	// and the second answered first, "lost" if it did not, and empty without a second send.
 	SecondSend string
+	// Evidence is what the attempts that counted as not run rest on, for a request that may run only
+	// once.
+	Evidence []Evidence
 	// Attempts is the number of attempts. Sheds that were retried within the shed limit do not
 	// count.
 	Attempts int
@@ -150,6 +153,7 @@
 	urgentLimitUpdates chan struct{}
 	// announcementLog bounds the log lines about announcements of upstreams.
 	announcementLog *logs.Limiter
+	refusals        refusalLog
 }
 
 // serviceState is the state of one service.
@@ -402,6 +406,7 @@
 		return
 	}
 	defer p.endPoisonCheck(cl)
+	defer p.recordRefusal(cl, out)
 	p.serve(ctx, w, r, snap, cl, out)
 }
 
--- a/internal/forward/writetracker.go
+++ b/internal/forward/writetracker.go
@@ -22,6 +22,9 @@
 	mu      sync.Mutex
 	written bool
 	sealed  bool
+	// requests is the number of requests sent on the connection. Only the request that has taken the
+	// connection uses it.
+	requests int
 	// connectTime is the time it took to open the connection.
 	connectTime time.Duration
 	// accepts is called before the first write of a request, which is not made if the result is
@@ -80,6 +83,8 @@
 	untracked bool
 	// reused is set if the connection served a request before.
 	reused bool
+	// ordinal is the number of requests sent on the connection up to this one; 0 if that is not known.
+	ordinal int
 	// accepts reports whether the upstream still accepts the request; nil means that it does.
 	accepts func() bool
 }
@@ -99,6 +104,18 @@
 	c.reset(w.accepts)
 	w.conn = c
 	w.reused = info.Reused
+	w.ordinal = c.requests + 1
+}
+
+// connection returns the local address of the attempt's connection and the number of requests sent on it
+// up to this attempt's. They are empty and 0 if the connection is not known.
+func (w *writeTracker) connection() (local string, ordinal int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn == nil {
+		return "", 0
+	}
+	return w.conn.LocalAddr().String(), w.ordinal
 }
 
 // connectTime returns the time it took to open the connection, or 0 for a reused one.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -64,6 +64,9 @@
 	Members  []model.Member                   `json:"members"`
 	Services map[string]forward.ServiceStatus `json:"services"`
 	Metrics  map[string]entry.ServiceMetrics  `json:"metrics"`
+	// Refusals are the latest requests that may run only once and of which an attempt counted as not
+	// run.
+	Refusals []forward.Refusal `json:"refusals,omitempty"`
 	// OrganisationLimits are the limits of the organisations that have requests.
 	OrganisationLimits []quota.Status `json:"limits,omitempty"`
 	// UpstreamLimits are the limits that upstreams announce.
@@ -73,7 +76,7 @@
 // Dump returns the node's state.
 func (n *Node) Dump() Dump {
 	n.refresh()
-	return Dump{n.Status(), *n.members.Load(), n.Entry.Proxy.Dump(), n.Entry.Metrics(), n.OrganisationLimits(), n.UpstreamLimits()}
+	return Dump{n.Status(), *n.members.Load(), n.Entry.Proxy.Dump(), n.Entry.Metrics(), n.Entry.Proxy.Refusals(), n.OrganisationLimits(), n.UpstreamLimits()}
 }
 
 // maxOrganisationLimits is the largest number of organisations in metrics and dumps.
