forward: a refusal that names no request is believed only on a new connection

What callers saw: an order ran that had been answered 503, or ran at two upstreams.

Cause: answers were matched to requests by ID only where they have one. An answer without ID counted as the answer to whatever request waited on its connection, also on one that had carried others; a late copy of a refusal then made the next order count as not run.

Change: one rule instead of a list of ways: an answer belongs to a send if it names the request, or if its connection had carried nothing before. Any other answer says nothing about the request (answer-unattributed, may have run). Where upstreams need not name requests in successes (the native protocol) that holds for refusals. To keep refusals of upstreams that name none useful, an upstream that has refused so gets orders on new connections for a minute after it; there its refusals are certain.

--- /dev/null
+++ b/internal/forward/attribution.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// unnamedMemory is how long an upstream counts as one that refuses requests without naming them.
+const unnamedMemory = time.Minute
+
+// unnamedRefusals holds the addresses of upstreams that refused requests without naming them. It is safe
+// for concurrent use.
+type unnamedRefusals struct {
+	mu    sync.RWMutex
+	until map[string]time.Time
+}
+
+func newUnnamedRefusals() *unnamedRefusals {
+	return &unnamedRefusals{until: make(map[string]time.Time)}
+}
+
+// add records that an upstream refused a request without naming it.
+func (u *unnamedRefusals) add(address string, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	maps.DeleteFunc(u.until, func(_ string, until time.Time) bool { return !now.Before(until) })
+	u.until[address] = now.Add(unnamedMemory)
+}
+
+// has reports whether an upstream refuses requests without naming them.
+func (u *unnamedRefusals) has(address string, now time.Time) bool {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	return now.Before(u.until[address])
+}
+
+// withCertainConnection returns the context for an attempt. An upstream that refuses requests without
+// naming them gets one that may run only once on a new connection: there a refusal can belong to no other
+// request.
+func (p *Proxy) withCertainConnection(ctx context.Context, cl *call, address string) context.Context {
+	if cl.Idempotent || !p.unnamed.has(address, p.now()) {
+		return ctx
+	}
+	return withNewConnection(ctx)
+}
+
+// parseResponse returns what an upstream's response says. A response that may belong to an earlier request
+// on the same connection says nothing about this one.
+func (p *Proxy) parseResponse(cl *call, address string, writes *writeTracker, resp *http.Response) ResponseInfo {
+	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
+	if info.InvalidReason == ReasonMismatch {
+		return info
+	}
+	refuses := info.NotRunReason != ""
+	_, ordinal := writes.connection()
+	if refuses {
+		p.refusals.count(info.Identified, ordinal)
+	}
+	if info.Identified {
+		return info
+	}
+	if refuses {
+		p.unnamed.add(address, p.now())
+	}
+	if ordinal != 1 && (refuses || !p.opt.Protocol.Identified(resp)) {
+		info.NotRunReason, info.InvalidReason = "", ReasonUnattributed
+	}
+	return info
+}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -38,7 +38,7 @@
 type RefusalCounts struct {
 	// Identified counts those that named the request. The others are counted by the place of the
 	// request on its connection: First on a connection that had carried nothing before, Later on
-	// one that had.
+	// one that had. The latter are not believed.
 	Identified int64 `json:"identified"`
 	First      int64 `json:"first"`
 	Later      int64 `json:"later"`
@@ -71,14 +71,15 @@
 	next   int
 }
 
-// count counts a response that said that its request was not run.
-func (l *refusalLog) count(e Evidence) {
+// count counts a response that said that its request was not run; ordinal is the number of requests sent
+// on its connection.
+func (l *refusalLog) count(identified bool, ordinal int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case e.Identified:
+	case identified:
 		l.counts.Identified++
-	case e.Ordinal == 1:
+	case ordinal == 1:
 		l.counts.First++
 	default:
 		l.counts.Later++
@@ -101,7 +102,6 @@
 func (p *Proxy) recordRefusing(cl *call, from string, writes *writeTracker, resp *http.Response, info ResponseInfo) {
 	e := Evidence{Upstream: from, Status: resp.StatusCode, Identified: info.Identified, Reason: info.NotRunReason}
 	e.Connection, e.Ordinal = writes.connection()
-	p.refusals.count(e)
 	cl.addEvidence(e)
 }
 
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -103,6 +103,9 @@
 	ReasonReplaced = "upstream-replaced"
 	// ReasonMismatch means that the response belongs to another request.
 	ReasonMismatch = "answer-mismatch"
+	// ReasonUnattributed means that the response may belong to an earlier request on the same
+	// connection.
+	ReasonUnattributed = "answer-unattributed"
 	// ReasonUnsigned means that the response lacks its upstream's signature.
 	ReasonUnsigned = "answer-unsigned"
 )
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -154,6 +154,7 @@
 	// announcementLog bounds the log lines about announcements of upstreams.
 	announcementLog *logs.Limiter
 	refusals        refusalLog
+	unnamed         *unnamedRefusals
 }
 
 // serviceState is the state of one service.
@@ -202,6 +203,7 @@
 		reachFailed:        make(chan struct{}, 1),
 		peers:              newPeerPicker(),
 		abandonable:        newAbandonableSet(),
+		unnamed:            newUnnamedRefusals(),
 		urgentLimitUpdates: make(chan struct{}, 1),
 		announcementLog:    logs.NewLimiter(announcementLogsPerSecond, announcementLogBurst),
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -149,7 +149,7 @@
 		r.Observation = res.observed
 	}
 	switch err.Reason {
-	case ReasonShed:
+	case ReasonShed, ReasonUnattributed:
 		r.Result = balance.Shed
 	case reasonUnreachable, ReasonReplaced:
 		r.Result = balance.Unreachable
