platform: an upstream's answer that falsely promises "not run" is not passed on

What callers saw: 429, 408, 421 or 503 for an order that had run, with the upstream's signature.

Cause: four statuses promise that a request has not run and never will. An upstream's signed answer was passed on whatever its status; nothing looked whether it proved the promise.

Change: to a request that may run only once such an answer becomes a 502 of the entry's own (refusal-unproven, may have run) without the signature, which keeps the rule that a signed failure has its upstream's status. To requests that may be repeated the answer goes as it is: the promise binds nobody there, and its Retry-After helps. For the balancer it is an answer with a server error, as before.

--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -106,6 +106,9 @@
 	// ReasonUnattributed means that the response may belong to an earlier request on the same
 	// connection.
 	ReasonUnattributed = "answer-unattributed"
+	// ReasonUnproven means that the status promises callers that their request was not run, which the
+	// response does not prove.
+	ReasonUnproven = "refusal-unproven"
 	// ReasonUnsigned means that the response lacks its upstream's signature.
 	ReasonUnsigned = "answer-unsigned"
 )
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -151,6 +151,8 @@
 	switch err.Reason {
 	case ReasonShed, ReasonUnattributed:
 		r.Result = balance.Shed
+	case ReasonUnproven:
+		r.Result, r.ServerError = balance.OK, true
 	case reasonUnreachable, ReasonReplaced:
 		r.Result = balance.Unreachable
 	case reasonCallerGone, reasonNotRepeatable, reasonCallerBody, reasonTooLarge, reasonWithdrawn:
