forward: bytes before the first request of a connection are no answer to it

What callers would see: an order that ran is refused, or runs at two upstreams.

Cause: a used connection with unread bytes is not used again, but a new one was not looked at. An upstream that writes a refusal when a connection opens and then runs the request was believed, since the first answer of a connection needs no ID.

Evidence: TestBytesBeforeTheRequestAreNoAnswer; without the check the request is sent and the bytes count as its answer. Not seen at users.

Change: a new connection with unread bytes is closed before anything is written, which is "not run" for certain. With TLS the rest of the handshake may be unread, so it holds without TLS.

--- a/internal/forward/attribution_test.go
+++ b/internal/forward/attribution_test.go
@@ -1,11 +1,17 @@
 package forward
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/loomkeel/loomkeel/internal/header"
 )
 
@@ -29,3 +35,34 @@
 		t.Errorf("refusals %+v, want %+v", got, want)
 	}
 }
+
+// TestBytesBeforeTheRequestAreNoAnswer guards against an upstream that writes a refusal when a connection
+// opens, and then runs the request.
+func TestBytesBeforeTheRequestAreNoAnswer(t *testing.T) {
+	early := newScriptedUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
+		if _, err := readRequest(r); err == nil {
+			t.Error("the request was sent")
+		}
+	})
+	p := NewPool(PoolOptions{Now: time.Now, Dial: dialAndAwaitBytes})
+	if got, err := early.send(t, p, "a", "/", nil, 0); err == nil {
+		t.Errorf("the request got %q", got)
+	}
+}
+
+// dialAndAwaitBytes opens a connection and waits until the other end has written to it.
+func dialAndAwaitBytes(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := new(net.Dialer).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return c, raw.Read(func(fd uintptr) bool {
+		n, _, _ := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return n > 0
+	})
+}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -34,7 +34,9 @@
 
 var (
 	errStaleResponses = errors.New("forward: too many answers to earlier requests")
-	errHeaderTooLong  = errors.New("forward: header of the answer is too long")
+	// errUnasked means that the upstream sent data before it got the first request of a connection.
+	errUnasked       = errors.New("forward: data from the upstream before the request")
+	errHeaderTooLong = errors.New("forward: header of the answer is too long")
 )
 
 // upstreamConn is a connection to an upstream.
@@ -99,6 +101,10 @@
 func (c *upstreamConn) roundTrip(req *http.Request) (*http.Response, error) {
 	stop := context.AfterFunc(req.Context(), c.close)
 	first := c.requests == 0
+	// With TLS, the end of the handshake may still be unread.
+	if first && c.pool.opt.TLS == nil && !c.usable() {
+		return nil, errUnasked
+	}
 	c.requests++
 	sent, err := c.send(req)
 	if err != nil {
