forward: a native upstream's refusal of another request is no refusal of this one

What callers would see: an order that ran is refused, or runs at two upstreams.

Cause: the native protocol looked at the status before the ID, so that a refusal with the ID of another request counted as "not run".

Evidence: TestRefusalOfAnotherRequestIsNotBelieved, which fails with the former order. The same class as in the platform's protocol; not seen at users.

Change: an answer that names another request is a mismatch, whatever its status.

--- a/internal/forward/attribution_test.go
+++ b/internal/forward/attribution_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/loomkeel/loomkeel/internal/header"
+	"github.com/loomkeel/loomkeel/internal/model"
 )
 
 // TestUnnamedRefusalOnAUsedConnectionIsNotBelieved guards against a late copy of a refusal that names no
@@ -66,3 +67,12 @@
 		return n > 0
 	})
 }
+
+// TestRefusalOfAnotherRequestIsNotBelieved guards against a refusal that names another request.
+func TestRefusalOfAnotherRequestIsNotBelieved(t *testing.T) {
+	resp := &http.Response{StatusCode: http.StatusTooManyRequests, Header: http.Header{header.RequestID: {"another"}}, Request: new(http.Request)}
+	svc := &model.Service{NotRunStatuses: []int{http.StatusTooManyRequests}}
+	if got := (Native{}).ParseResponse(resp, &RequestInfo{ID: "order"}, svc); got.NotRunReason != "" || got.InvalidReason != ReasonMismatch {
+		t.Errorf("%+v, want a mismatch", got)
+	}
+}
--- a/internal/forward/native.go
+++ b/internal/forward/native.go
@@ -115,12 +115,12 @@
 	echo := resp.Header.Get(header.RequestID)
 	out.Identified = echo != "" && echo == info.ID
 	switch {
-	case slices.Contains(svc.NotRunStatuses, resp.StatusCode):
-		out.NotRunReason = ReasonShed
-		out.Limit, _, _ = ParseRate(resp, header.RateLimit)
 	case echo != "" && echo != info.ID:
 		out.InvalidReason = ReasonMismatch
 		out.Announcement = balance.NoAnnouncement()
+	case slices.Contains(svc.NotRunStatuses, resp.StatusCode):
+		out.NotRunReason = ReasonShed
+		out.Limit, _, _ = ParseRate(resp, header.RateLimit)
 	case closeDelimited(resp):
 		out.InvalidReason = reasonUnframed
 	default:
