forward: an unnamed refusal of a request that may be repeated is believed

What callers would see: 502 without Retry-After for a safe request that upstreams refused, in place of 503; and each such refusal counted as an attempt and against its organisation's limit.

Cause: disbelieves refusals without an ID on used connections for all requests, though only those that may run once need that. Native upstreams that echo no ID keep their connections, so that almost each refusal comes on a used one. Orders avoid that by new connections, safe requests do not.

Evidence: TestUnnamedRefusalOfASafeRequestIsBelieved: 502, may-have-run before; at and with this commit 503, not-run. Not seen at users.

Change: such a refusal counts as one if the request is idempotent, as does for what is passed on. A success without ID on a used connection stays unattributed for all requests. The place on the connection is asked for only where it matters, without building the address as text.

--- a/internal/forward/attribution.go
+++ b/internal/forward/attribution.go
@@ -48,16 +48,17 @@
 }
 
 // parseResponse returns what an upstream's response says. A response that may belong to an earlier request
-// on the same connection says nothing about this one.
+// on the same connection says nothing about this one. A refusal is an exception if the request may be
+// repeated: taking it for a refusal of this request does no harm, and the caller learns when to come back.
 func (p *Proxy) parseResponse(cl *call, address string, writes *writeTracker, resp *http.Response) ResponseInfo {
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
-	if info.InvalidReason == ReasonMismatch {
+	refuses := info.NotRunReason != ""
+	if info.InvalidReason == ReasonMismatch || info.Identified && !refuses {
 		return info
 	}
-	refuses := info.NotRunReason != ""
-	_, ordinal := writes.connection()
+	first := writes.firstOnConnection()
 	if refuses {
-		p.refusals.count(info.Identified, ordinal)
+		p.refusals.count(info.Identified, first)
 	}
 	if info.Identified {
 		return info
@@ -65,7 +66,10 @@
 	if refuses {
 		p.unnamed.add(address, p.now())
 	}
-	if ordinal != 1 && (refuses || !p.opt.Protocol.Identified(resp)) {
+	if first || refuses && cl.Idempotent {
+		return info
+	}
+	if refuses || !p.opt.Protocol.Identified(resp) {
 		info.NotRunReason, info.InvalidReason = "", ReasonUnattributed
 	}
 	return info
--- a/internal/forward/attribution_test.go
+++ b/internal/forward/attribution_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/loomkeel/loomkeel/internal/header"
 	"github.com/loomkeel/loomkeel/internal/model"
+	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
 // TestUnnamedRefusalOnAUsedConnectionIsNotBelieved guards against a late copy of a refusal that names no
@@ -76,3 +77,16 @@
 		t.Errorf("%+v, want a mismatch", got)
 	}
 }
+
+// TestUnnamedRefusalOfASafeRequestIsBelieved guards against a 502 without a promise for a request that
+// could have been repeated anyway.
+func TestUnnamedRefusalOfASafeRequestIsBelieved(t *testing.T) {
+	f := newFakeUpstream(t, responds)
+	f.always = shedsUnnamed
+	e := newEntry(t, []*fakeUpstream{f})
+	e.send(t, http.MethodGet, "/x", "")
+	got := e.send(t, http.MethodGet, "/x", "")
+	if got.status != http.StatusServiceUnavailable || got.verdict(t) != verdict.NotRun {
+		t.Errorf("status %d, verdict %v", got.status, got.verdict(t))
+	}
+}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -38,7 +38,7 @@
 type RefusalCounts struct {
 	// Identified counts those that named the request. The others are counted by the place of the
 	// request on its connection: First on a connection that had carried nothing before, Later on
-	// one that had. The latter are not believed.
+	// one that had. The latter are believed only if the request may be repeated.
 	Identified int64 `json:"identified"`
 	First      int64 `json:"first"`
 	Later      int64 `json:"later"`
@@ -71,15 +71,15 @@
 	next   int
 }
 
-// count counts a response that said that its request was not run; ordinal is the number of requests sent
-// on its connection.
-func (l *refusalLog) count(identified bool, ordinal int) {
+// count counts a response that said that its request was not run; first is set if its connection had
+// carried nothing before the request.
+func (l *refusalLog) count(identified, first bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case identified:
 		l.counts.Identified++
-	case ordinal == 1:
+	case first:
 		l.counts.First++
 	default:
 		l.counts.Later++
--- a/internal/forward/writetracker.go
+++ b/internal/forward/writetracker.go
@@ -118,6 +118,13 @@
 	return w.conn.LocalAddr().String(), w.ordinal
 }
 
+// firstOnConnection reports whether the attempt's request was certainly the first one on its connection.
+func (w *writeTracker) firstOnConnection() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ordinal == 1
+}
+
 // connectTime returns the time it took to open the connection, or 0 for a reused one.
 func (w *writeTracker) connectTime() time.Duration {
 	w.mu.Lock()
