forward: connections opened for single orders do not pile up in the pool

What callers would see: connections reset by an upstream that takes a limited number of them, and with them orders of which nobody knows whether they ran.

Cause: an upstream that refuses without naming requests gets each order on a new connection, which returned to the pool after its success although the next order opens one again.

Not seen at users.

Change: a connection that was opened since its request needed a new one is closed after the response. That holds for probes too, whose connections mostly were closed already, as their answers name no request. A connection refused for early bytes no longer leaves a callback at the context of its request.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -99,12 +99,12 @@
 // roundTrip sends a request and reads the header of its response. At the end of the response
 // body the connection returns to the pool or is closed.
 func (c *upstreamConn) roundTrip(req *http.Request) (*http.Response, error) {
-	stop := context.AfterFunc(req.Context(), c.close)
 	first := c.requests == 0
 	// With TLS, the end of the handshake may still be unread.
 	if first && c.pool.opt.TLS == nil && !c.usable() {
 		return nil, errUnasked
 	}
+	stop := context.AfterFunc(req.Context(), c.close)
 	c.requests++
 	sent, err := c.send(req)
 	if err != nil {
@@ -118,7 +118,7 @@
 	}
 	b := &responseBody{ReadCloser: resp.Body, conn: c, stop: stop, sent: sent}
 	c.recordStatus(req, resp)
-	b.reuse = !resp.Close && !stale && !closeDelimited(resp) && c.pool.opt.Identified(resp) && len(c.failed) < maxFailed
+	b.reuse = !stale && c.reusable(req, resp)
 	empty := resp.ContentLength == 0 || resp.Body == http.NoBody
 	if timeout, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = timeout
@@ -130,6 +130,15 @@
 	return resp, nil
 }
 
+// reusable reports whether the connection may carry another request after a response. Requests that need a
+// new connection would otherwise leave more and more connections that they never use again.
+func (c *upstreamConn) reusable(req *http.Request, resp *http.Response) bool {
+	if resp.Close || closeDelimited(resp) || !c.pool.opt.Identified(resp) {
+		return false
+	}
+	return len(c.failed) < maxFailed && !needsNewConnection(req.Context())
+}
+
 // recordStatus records a request that was answered with an error status. The connection never carries
 // it again: a late copy of the answer, such as a refusal, could not be told from the answer to the
 // second send by the ID, which is the same.
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -439,3 +440,42 @@
 		}
 	}
 }
+
+// TestNewConnectionsDoNotPileUp guards against an upstream that refuses connections beyond a number,
+// while orders go on new ones.
+func TestNewConnectionsDoNotPileUp(t *testing.T) {
+	f := newFakeUpstream(t)
+	open := atomic.Int64{}
+	p := NewPool(PoolOptions{Now: time.Now, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, addr)
+		open.Add(1)
+		return countedConn{c, &open}, err
+	}})
+	defer p.CloseAllIdle()
+	for range 20 {
+		req, err := http.NewRequestWithContext(withNewConnection(t.Context()), http.MethodPost, "http://"+f.lis.Addr().String()+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := p.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		discard(resp)
+	}
+	if n := open.Load(); n > 1 {
+		t.Errorf("%d connections are open after 20 requests in turn", n)
+	}
+}
+
+// countedConn takes itself off the number of open connections when it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+}
+
+// Close implements net.Conn.
+func (c countedConn) Close() error {
+	c.open.Add(-1)
+	return c.Conn.Close()
+}
