forward: an answer with an unproven refusal counts in rollouts and for its upstream

What callers would see: a new version that answers orders with a signed 503 is rolled out although every order to it fails.

A rollout counts answers and time-outs only, so that these no longer counted at all; neither did they show that the upstream is alive to the detector of requests that crash upstreams, nor what they say about its slots and limit to the report of the attempt.

Evidence: TestUnprovenRefusalsCountInRollouts: 0 answers counted of 5, now 5 bad ones. Not seen at users.

Change: the attempt returns what the answer said, as for a refusal, and the rollout counts it as bad.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -74,7 +74,7 @@
 
 // attempt sends the call to one upstream. A returned error has the verdict of this attempt
 // alone. The response that is returned with an error is nil, or has only the fields info and
-// observed, if the upstream reported that it did not run the request.
+// observed, if the upstream reported that it did not run the request, or seemed to.
 func (p *Proxy) attempt(ctx context.Context, r *http.Request, cl *call, to balance.Choice) (*upstreamResponse, *verdict.Error) {
 	sent := p.now()
 	p.reach.BeginAttempt(sent)
@@ -106,7 +106,11 @@
 	}
 	if info.InvalidReason != "" {
 		discard(resp)
-		return nil, verdict.New(verdict.MayHaveRun, info.InvalidReason, fmt.Errorf("answer %s to request %s", resp.Status, cl.ID))
+		e := verdict.New(verdict.MayHaveRun, info.InvalidReason, fmt.Errorf("answer %s to request %s", resp.Status, cl.ID))
+		if info.InvalidReason == ReasonUnproven {
+			return &upstreamResponse{info: info, observed: observed}, e
+		}
+		return nil, e
 	}
 	res, verr := p.readResponse(ctx, cl, resp)
 	if verr == nil {
--- a/internal/forward/rollout.go
+++ b/internal/forward/rollout.go
@@ -65,7 +65,8 @@
 	return state.balancer.PickObject(now, req)
 }
 
-// recordForRollout counts the answer of an upstream, if its service is in a rollout. Of requests
+// recordForRollout counts the answer of an upstream, if its service is in a rollout. One with a refusal
+// that it does not prove is bad, since the caller gets an error in its place. Of requests
 // without an answer only those count for which it took too long: connections break for reasons
 // that do not depend on the upstream's version. While none answers this entry, a timeout may be the
 // fault of its links.
@@ -79,6 +80,8 @@
 	case res != nil && res.resp != nil:
 		failed := res.resp.StatusCode >= http.StatusInternalServerError
 		bad = failed || isSlow(choice, p.now().Sub(choice.SendAt), cl.Route.Objective)
+	case err != nil && err.Reason == ReasonUnproven:
+		bad = true
 	case err != nil && err.Reason == reasonTimeout && !p.failuresSuspect():
 		bad = true
 	default:
--- a/internal/forward/rollout_test.go
+++ b/internal/forward/rollout_test.go
@@ -104,3 +104,29 @@
 		}
 	}
 }
+
+// unprovenRoutes is configRoutes with upstreams whose every answer has a status that promises what the
+// answer does not prove.
+type unprovenRoutes struct{ configRoutes }
+
+// ParseResponse implements Protocol.
+func (unprovenRoutes) ParseResponse(*http.Response, *RequestInfo, *model.Service) ResponseInfo {
+	return ResponseInfo{InvalidReason: ReasonUnproven, Identified: true, Announcement: balance.NoAnnouncement()}
+}
+
+// TestUnprovenRefusalsCountInRollouts guards against a new version whose orders all fail and that is
+// rolled out.
+func TestUnprovenRefusalsCountInRollouts(t *testing.T) {
+	h, traffic := newRolloutFixture(t, rollout.Shift, 1)
+	h.proxy.opt.Protocol = unprovenRoutes{}
+	h.route.Idempotent = false
+	h.configure(3)
+	for i := range 5 {
+		if got := h.send(fmt.Sprint("order-", i)); got.status != http.StatusBadGateway {
+			t.Errorf("order %d: status %d", i, got.status)
+		}
+	}
+	if c := evidenceOf(h, traffic); c.New != 5 || c.NewBad != 5 {
+		t.Errorf("evidence %+v, want 5 bad answers of the new version", c)
+	}
+}
