pipeline: no request is begun on a connection that has ended

What callers saw: a GET on a route whose requests may run only once, pipelined behind a request whose answer closes the connection, could be begun after the close. The caller gets no answer to it, and the upstream runs it.

Cause: a lane that net/http has read completely was given to the handler without a look at whether the connection had ended in the meantime.

The same order on the connection itself, a Shutdown between the read of a request and its handler, can't happen: net/http looks for a shutdown after it has read a request.

Why it works: the look is taken under the connection's lock right before the handler, and a connection that has ended stays so.

Conclusion: what ends unread isn't begun later. A request that was begun before its connection ended still runs; a closed connection makes no promise about it.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -205,6 +205,13 @@
 	return len(c.lanes) > 0
 }
 
+// ended implements stream.
+func (c *conn) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // takeOver starts the pump.
 func (c *conn) takeOver() {
 	c.takenOver = true
--- a/internal/pipeline/lane.go
+++ b/internal/pipeline/lane.go
@@ -208,6 +208,13 @@
 	return l.hasBehind()
 }
 
+// ended implements stream.
+func (l *lane) ended() bool {
+	l.conn.mu.Lock()
+	defer l.conn.mu.Unlock()
+	return l.cancelled || l.conn.closed
+}
+
 // hasBehind reports whether there are lanes behind this one.
 func (l *lane) hasBehind() bool {
 	lanes := l.conn.lanes
--- a/internal/pipeline/writer.go
+++ b/internal/pipeline/writer.go
@@ -18,6 +18,8 @@
 	// serveNoMore has no further requests served behind the one in progress until its answer has been
 	// written. It reports whether some are being served already.
 	serveNoMore() (behind bool)
+	// ended reports whether the connection ends without an answer to the request.
+	ended() bool
 }
 
 // BeginStream is called by a handler before it sends an answer that may break off, which ends the
@@ -28,13 +30,17 @@
 	return ok && rw.stream.serveNoMore()
 }
 
-// serve has the handler h serve a request.
+// serve has the handler h serve a request, unless the connection has ended since the request was read.
+// Callers may take the end for a sign that nothing was done.
 func serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	st, ok := r.Context().Value(streamKey{}).(stream)
 	if !ok {
 		h.ServeHTTP(w, r)
 		return
 	}
+	if st.ended() {
+		panic(http.ErrAbortHandler)
+	}
 	if c, ok := st.(*conn); ok {
 		c.begin(r)
 		defer c.handled()
