forward: a peer's refusal is believed only if it certainly holds

What callers saw: an isolated entry passed on the status of a peer's own answer whatever verdict stood beside it, so 408, 421, 429 or 503 could reach a caller whose request may have run or had run. It also believed a refusal that named another request or none, one whose header said "may have run" and its body "not run", and passed on a refusal without a verdict, which no peer gives.

Cause: readPeerReply took the verdict of the body and the status of the head and compared neither with the other nor with the request.

The entries of this tree never give such answers themselves: it takes a peer of another build, or another process at the peer's address.

Why it works: a peer's verdict "not run" counts only if header and body agree and the body names the request (an entry without a configuration can't name it); the status of each answer that an entry generates follows from its verdict. Where the last error is not known, withOutcome reports the outcome, too, rather than the entry's own refusal. No path leads there today: a peer that broke off has used all attempts, and TestHandoverKeepsWhatAnEarlierPeerMayHaveRun, which held before, guards that.

Conclusion: what isn't certain is answered 502 and makes no promise. An answer of an upstream that a peer passes on with one of these statuses is judged by ParseResponse alone.

--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -102,7 +103,7 @@
 		case reply != nil && reply.cannotServe():
 			p.peers.avoid(peer, reply.reason == reasonIsolated, p.now())
 		case reply != nil:
-			p.reply(w, r, cl.body, out, reply.withOutcome(verdict.New(cl.outcome, reply.reason, nil), cl.outcome))
+			p.reply(w, r, cl.body, out, reply.withOutcome(nil, cl.outcome))
 			return true
 		default:
 			out.Attempts++
@@ -139,17 +140,18 @@
 	}
 	if resp.Header.Get(verdict.Header) != "" {
 		defer p.peers.end(peer.ID)
-		reply, rerr := readPeerReply(resp)
+		reply, rerr := readPeerReply(resp, cl.ID)
 		if rerr != nil {
 			return nil, nil, verdict.New(verdict.MayHaveRun, reasonBroken, rerr)
 		}
 		return nil, reply, nil
 	}
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
-	if info.InvalidReason != "" {
+	// A peer gives a refusal of an upstream as its own.
+	if reason := cmp.Or(info.InvalidReason, info.NotRunReason); reason != "" {
 		discard(resp)
 		p.peers.end(peer.ID)
-		return nil, nil, verdict.New(verdict.MayHaveRun, info.InvalidReason, fmt.Errorf("answer %s to request %s by peer", resp.Status, cl.ID))
+		return nil, nil, verdict.New(verdict.MayHaveRun, reason, fmt.Errorf("answer %s to request %s by peer", resp.Status, cl.ID))
 	}
 	res, verr := p.readResponse(ctx, cl, resp)
 	if verr != nil {
@@ -161,8 +163,12 @@
 	return res, nil, nil
 }
 
-// readPeerReply reads a response that a peer generated itself.
-func readPeerReply(resp *http.Response) (*localReply, error) {
+// errPeerRefusal is the error of a peer's refusal that names another request, or whose header and body
+// differ.
+var errPeerRefusal = errors.New("forward: refusal of peer does not hold for this request")
+
+// readPeerReply reads a response to the request with an ID that a peer generated itself.
+func readPeerReply(resp *http.Response, id string) (*localReply, error) {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerReply))
 	if err != nil {
@@ -179,11 +185,21 @@
 	if resp.StatusCode < http.StatusBadRequest {
 		return nil, errors.New("forward: reply of peer has status " + resp.Status)
 	}
+	if v == verdict.NotRun && !e.refuses(id, resp.Header) {
+		return nil, errPeerRefusal
+	}
 	return &localReply{
 		status: resp.StatusCode, reason: e.Reason, detail: e.Detail, verdict: v, retryAfter: time.Duration(e.RetryAfterMillis) * time.Millisecond,
 	}, nil
 }
 
+// refuses reports whether a peer's response with verdict NotRun holds for the request with an ID. A peer
+// without a configuration cannot name the request.
+func (e *ErrorResponse) refuses(id string, h http.Header) bool {
+	named := e.RequestID == id || e.RequestID == "" && e.Reason == reasonStarting
+	return named && h.Get(verdict.Header) == verdict.NotRun.String()
+}
+
 // cannotServe reports whether a peer's reply says that the peer could take no request at all.
 func (l *localReply) cannotServe() bool {
 	switch l.reason {
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -430,6 +430,10 @@
 
 func (p *Proxy) reply(w http.ResponseWriter, r *http.Request, body *replayBody, out *Outcome, reply *localReply) {
 	closeUnlessComplete(w, r, body)
+	if reply.verdict != verdict.NotRun && impliesNotRun(reply.status) {
+		// The status of a peer's response.
+		reply.status = statusFor(reply.reason, reply.verdict)
+	}
 	if out.HandoverFrom != "" {
 		// Tells the other entry that no upstream has responded.
 		w.Header().Set(verdict.Header, reply.verdict.String())
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -59,15 +59,27 @@
 }
 
 // withOutcome returns the response to a request that had attempts before, of which last is the
-// last error. If one of them may have run, the response reports that error and outcome instead
-// of l.
+// last error; nil if it is not known. If one of them may have run, the response reports that error
+// and outcome instead of l.
 func (l *localReply) withOutcome(last *verdict.Error, outcome verdict.Verdict) *localReply {
-	if last == nil || outcome == verdict.NotRun {
+	if outcome == verdict.NotRun {
 		return l
 	}
+	if last == nil {
+		last = verdict.New(outcome, l.reason, nil)
+	}
 	return replyFor(last, outcome)
 }
 
+// impliesNotRun reports whether callers take a status for a promise that the request was not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // replyFor returns the response for the error that ended a call.
 func replyFor(err *verdict.Error, outcome verdict.Verdict) *localReply {
 	return &localReply{
@@ -79,6 +91,7 @@
 	}
 }
 
+// statusFor returns the status for a reason and the verdict of all attempts.
 func statusFor(reason string, outcome verdict.Verdict) int {
 	switch {
 	case reason == reasonTooLarge:
