forward: a request given up while its connection was opened isn't sent

What callers saw: a request whose deadline passed, whose node stopped or whose caller left while the connection to the upstream was being opened was still written when the connection opened at that moment. It was answered 504, which says nothing, though it need not have run.

Cause: Pool.RoundTrip sent the request on a new connection without a look at its context; the close that the end of the context brings about runs beside the first write.

Evidence: TestNodesOwnRefusalsAreTrue holds a send at each of six stages (connecting, asking whether the upstream accepts, before and after the head, reading the caller's body, in a long body) and gives it up by deadline, stop, suspension or its caller, 23 orders of events. No order gave a false promise before or after: from the first write on the verdict is "may have run".

Why it works: once the context has ended nothing is written, so "not run" is certain. If it ends later, the write counts as before.

Conclusion: no false promise was found here; fewer requests run that nobody waits for.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -112,6 +112,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		// The request was given up while the connection was opened.
+		c.close()
+		return nil, ctx.Err()
+	}
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c.trackedConn, Reused: c.requests > 0})
 	}
