forward: memory of unfinished response headers is bounded

What callers saw: a target that sends header fields and never ends the header keeps each of its requests waiting until the deadline, and the node keeps what it has parsed. The limit of 64 KiB was one of bytes, for one response. Parsed, many short fields take about fifteen times as much, and nothing bounded all responses together. A node that runs out of memory ends the requests of all other callers too.

Cause: net/http parses fields as they come; a field of five bytes takes an entry in the map of the header, a slice and two strings. The memory for bodies (MaxBuffered) did not count headers.

The fix: behind 1,000 lines no more of a header is read, and a header beyond 16 KiB (its text, and 128 bytes a line) is counted while it is read. All of these together may use MaxBuffered, apart from what bodies use, so that slow callers that hold bodies do not cost others their answers. What was read is counted before the next read, so that what is read of the body in the same read is not. Responses of ordinary size take no part in the count.

Conclusion: what can stall in a header is bounded, however many requests wait. Not bounded by this: a complete long header while its response is written to a slow caller.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// maxResponseHeader is the largest response header in bytes.
-	maxResponseHeader = 64 << 10
 	// maxStaleBody is the largest body in bytes of a response to an earlier request that is read to
 	// get to the next response.
 	maxStaleBody = 1 << 20
@@ -35,8 +33,7 @@
 var (
 	errStaleResponses = errors.New("forward: too many answers to earlier requests")
 	// errUnasked means that the upstream sent data before it got the first request of a connection.
-	errUnasked       = errors.New("forward: data from the upstream before the request")
-	errHeaderTooLong = errors.New("forward: header of the answer is too long")
+	errUnasked = errors.New("forward: data from the upstream before the request")
 )
 
 // upstreamConn is a connection to an upstream.
@@ -45,11 +42,10 @@
 	pool *Pool
 	addr string
 	// raw is the underlying socket; nil if there is none.
-	raw syscall.Conn
-	br  *bufio.Reader
-	bw  *bufio.Writer
-	// limit limits the size of a response header.
-	limit        *io.LimitedReader
+	raw          syscall.Conn
+	br           *bufio.Reader
+	bw           *bufio.Writer
+	header       *headerReader
 	idleTimeout  time.Duration
 	idleDeadline time.Time
 	// idleSince is when the connection was last returned to the pool; zero if it never was.
@@ -61,8 +57,8 @@
 
 func newUpstreamConn(p *Pool, addr string, conn *trackedConn, raw syscall.Conn) *upstreamConn {
 	c := &upstreamConn{trackedConn: conn, pool: p, addr: addr, raw: raw, idleTimeout: defaultIdleTimeout}
-	c.limit = &io.LimitedReader{R: conn}
-	c.br = bufio.NewReaderSize(c.limit, connBufferSize)
+	c.header = &headerReader{src: conn, memory: &p.headers}
+	c.br = bufio.NewReaderSize(c.header, connBufferSize)
 	c.bw = bufio.NewWriterSize(conn, connBufferSize)
 	return c
 }
@@ -260,15 +256,12 @@
 // and sets stale if there were any. It reads at most maxStaleResponses headers.
 func (c *upstreamConn) receive(req *http.Request, first bool) (resp *http.Response, stale bool, err error) {
 	for range maxStaleResponses {
-		c.limit.N = maxResponseHeader
+		c.header.begin()
 		resp, err = http.ReadResponse(c.br, req)
+		c.header.end()
 		if err != nil {
-			if c.limit.N <= 0 {
-				err = errHeaderTooLong
-			}
 			return nil, stale, err
 		}
-		c.limit.N = 1<<63 - 1
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -41,6 +41,9 @@
 	TLS *tls.Config
 	// DialTimeout limits the wait for a connection; 0 means defaultDialTimeout.
 	DialTimeout time.Duration
+	// MaxHeaders is the largest memory in bytes that the long headers of all responses together use
+	// while they are read; 0 means no limit.
+	MaxHeaders int64
 	// Now returns the current time.
 	Now func() time.Time
 	// Dial opens connections; nil means the function of net.Dialer. It is called with a context that
@@ -63,6 +66,8 @@
 // data. It is safe for concurrent use.
 type Pool struct {
 	opt PoolOptions
+	// headers counts the memory of long response headers.
+	headers buffers
 
 	mu        sync.Mutex
 	idle      map[string][]*upstreamConn
@@ -85,7 +90,7 @@
 	if opt.Identified == nil {
 		opt.Identified = func(*http.Response) bool { return true }
 	}
-	p := &Pool{opt: opt, idle: make(map[string][]*upstreamConn)}
+	p := &Pool{opt: opt, headers: buffers{limit: opt.MaxHeaders}, idle: make(map[string][]*upstreamConn)}
 	if p.opt.Dial == nil {
 		dialer := net.Dialer{Control: setUnackedTimeout}
 		p.opt.Dial = dialer.DialContext
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -46,8 +46,8 @@
 	// MaxBody is the largest request body in bytes; 0 means no limit. A limit in the snapshot
 	// takes precedence.
 	MaxBody int64
-	// MaxBuffered is the largest memory in bytes that all requests together use for bodies; 0
-	// means no limit.
+	// MaxBuffered is the largest memory in bytes that all requests together use for bodies, and
+	// as much again for long response headers while they are read; 0 means no limit.
 	MaxBuffered int64
 	// TLS is the client configuration for upstreams; nil means plain HTTP.
 	TLS *tls.Config
@@ -178,7 +178,7 @@
 		opt.Protocol = Native{}
 	}
 	if opt.Transport == nil {
-		opt.Transport = NewPool(PoolOptions{TLS: opt.TLS, DialTimeout: opt.DialTimeout, Now: opt.Now, Matches: opt.Protocol.Matches, SentID: opt.Protocol.SentID, Identified: opt.Protocol.Identified})
+		opt.Transport = NewPool(PoolOptions{TLS: opt.TLS, DialTimeout: opt.DialTimeout, MaxHeaders: opt.MaxBuffered, Now: opt.Now, Matches: opt.Protocol.Matches, SentID: opt.Protocol.SentID, Identified: opt.Protocol.Identified})
 	}
 	if opt.SyncNow == nil {
 		opt.SyncNow = opt.Now
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -279,6 +279,8 @@
 		"w.next = (w.next + maxAbsent) % len(all)", "", pkgInFlight, "ManyAbsent", nil},
 	{"memory for bodies is shared", "internal/forward/buffers.go",
 		"b.limit > 0 && held > b.limit", "false && held > b.limit", pkgForward, "ShareMemory", nil},
+	{"memory for long response headers is shared", "internal/forward/headerreader.go",
+		"if !h.reserve() {", "if false {", pkgForward, "HeadersShareMemory", nil},
 	{"nodes without data follow a reader", "platform/reader.go",
 		"if !l.complete && f.findReader(ctx) {", "if false && f.findReader(ctx) {", pkgPlatform, "FleetStarts", nil},
 	{"a node without a reader lists the store", "platform/bootstrap.go",
