forward: answers that a peer passes on are attributed like those of upstreams

Cause: connections to peers are reused too, and an upstream's answer without ID that came by a peer counted as the answer to whatever request waited there.

--- a/internal/forward/givenup_test.go
+++ b/internal/forward/givenup_test.go
@@ -177,7 +177,7 @@
 				<-h.ended
 				close(h.release)
 				out := <-outcomes
-				promise := impliesNotRun(out.Status) || out.Verdict == verdict.NotRun
+				promise := ImpliesNotRun(out.Status) || out.Verdict == verdict.NotRun
 				if promise != s.promise {
 					t.Errorf("status %d, verdict %v (%s), %d bytes left, received %d: a promise: %t, want %t", out.Status, out.Verdict, out.Reason, h.written.Load(), len(f.received()), promise, s.promise)
 				}
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -130,7 +130,8 @@
 // response of an upstream, one that the peer generated itself, or an error.
 func (p *Proxy) sendToPeer(ctx context.Context, r *http.Request, cl *call, peer model.Member, attempts int) (*upstreamResponse, *localReply, *verdict.Error) {
 	p.peers.begin(peer.ID)
-	resp, err := p.roundTrip(ctx, ctx, new(writeTracker), r, cl, peer.Entry, func(h http.Header) {
+	writes := new(writeTracker)
+	resp, err := p.roundTrip(ctx, ctx, writes, r, cl, peer.Entry, func(h http.Header) {
 		p.opt.Protocol.SetPeerHeaders(h, &cl.RequestInfo, cl.deadline.Sub(p.now())-handoverMargin)
 		setHandover(h, handover{From: p.opt.Self, Caller: callerIP(r), Attempts: attempts})
 	})
@@ -146,7 +147,7 @@
 		}
 		return nil, reply, nil
 	}
-	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
+	info := p.parseResponse(cl, peer.Entry, writes, resp)
 	// A peer gives a refusal of an upstream as its own.
 	if reason := cmp.Or(info.InvalidReason, info.NotRunReason); reason != "" {
 		discard(resp)
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -71,8 +71,8 @@
 	return replyFor(last, outcome)
 }
 
-// impliesNotRun reports whether callers take a status for a promise that the request was not run.
-func impliesNotRun(status int) bool {
+// ImpliesNotRun reports whether callers take a status for a promise that the request was not run.
+func ImpliesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
