forward: a flood of unnamed refusals does not search all upstreams each time

What callers would see: slower answers at an entry that many upstreams refuse.

Cause: each refusal without an ID looked through all remembered upstreams under one lock.

Change: a refusal within a second of the last one that was recorded for its upstream changes nothing. TestUnnamedRefusalsAreForgotten guards the time for which upstreams are remembered.

--- a/internal/forward/attribution.go
+++ b/internal/forward/attribution.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// unnamedMemory is how long an upstream counts as one that refuses requests without naming them.
-const unnamedMemory = time.Minute
+const (
+	// unnamedMemory is how long an upstream counts as one that refuses requests without naming them.
+	unnamedMemory = time.Minute
+	// unnamedRefresh is how long after a refusal another one does not extend that, so that a flood of
+	// refusals does not search the addresses each time.
+	unnamedRefresh = time.Second
+)
 
 // unnamedRefusals holds the addresses of upstreams that refused requests without naming them. It is safe
 // for concurrent use.
@@ -24,6 +29,9 @@
 
 // add records that an upstream refused a request without naming it.
 func (u *unnamedRefusals) add(address string, now time.Time) {
+	if u.has(address, now.Add(unnamedMemory-unnamedRefresh)) {
+		return
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	maps.DeleteFunc(u.until, func(_ string, until time.Time) bool { return !now.Before(until) })
--- a/internal/forward/attribution_test.go
+++ b/internal/forward/attribution_test.go
@@ -90,3 +90,31 @@
 		t.Errorf("status %d, verdict %v", got.status, got.verdict(t))
 	}
 }
+
+// BenchmarkUnnamedRefusals records refusals while many upstreams refuse.
+func BenchmarkUnnamedRefusals(b *testing.B) {
+	u, now := newUnnamedRefusals(), time.Now()
+	for i := range 3400 {
+		u.add(fmt.Sprint("10.0.0.1:", i), now)
+	}
+	for b.Loop() {
+		u.add("10.0.0.1:7", now)
+	}
+}
+
+// TestUnnamedRefusalsAreForgotten guards against a memory that ends while an upstream still refuses, or
+// never.
+func TestUnnamedRefusalsAreForgotten(t *testing.T) {
+	u, now := newUnnamedRefusals(), time.Now()
+	for i := range 200 {
+		u.add("10.0.0.1:80", now.Add(time.Duration(i)*time.Second/2))
+	}
+	last := now.Add(99 * time.Second)
+	if !u.has("10.0.0.1:80", last.Add(unnamedMemory-time.Millisecond)) || u.has("10.0.0.1:80", last.Add(unnamedMemory+time.Second)) {
+		t.Errorf("remembered until %v", u.until)
+	}
+	u.add("10.0.0.2:80", last.Add(2*unnamedMemory))
+	if len(u.until) != 1 {
+		t.Errorf("%d upstreams are remembered, want the latest alone", len(u.until))
+	}
+}
