--- a/internal/forward/attribution_test.go
+++ b/internal/forward/attribution_test.go
@@ -118,3 +118,15 @@
 		t.Errorf("%d upstreams are remembered, want the latest alone", len(u.until))
 	}
 }
+
+// TestUnnamedRefusalOfAnotherTransportIsNotBelieved guards against a transport whose connections are not
+// known: they may have carried others.
+func TestUnnamedRefusalOfAnotherTransportIsNotBelieved(t *testing.T) {
+	f := newFakeUpstream(t, shedsUnnamed)
+	transport := new(http.Transport)
+	defer transport.CloseIdleConnections()
+	e := newEntryWith(t, func(o *Options) { o.Transport = transport }, []*fakeUpstream{f})
+	if got := e.send(t, http.MethodPost, "/x", "", header.RequestID, "order-1"); got.status != http.StatusBadGateway {
+		t.Errorf("status %d", got.status)
+	}
+}
