forward: a disbelieved refusal of a safe request is no verdict "not run"

Change: the refusal is marked uncertain. It is retried as a refusal, its attempt may have run, and a safe request that ends refused is answered 503 with Retry-After whatever its verdict.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -100,7 +100,11 @@
 	observed := p.observe(balancer, cl, to, info.Announcement)
 	if info.NotRunReason != "" {
 		p.recordRefusing(cl, to.ID, writes, resp, info)
-		e := verdict.New(verdict.NotRun, info.NotRunReason, fmt.Errorf("upstream answered %s", resp.Status))
+		v := verdict.NotRun
+		if info.Uncertain {
+			v = verdict.MayHaveRun
+		}
+		e := verdict.New(v, info.NotRunReason, fmt.Errorf("upstream answered %s", resp.Status))
 		discard(resp)
 		return &upstreamResponse{info: info, observed: observed}, e
 	}
--- a/internal/forward/attribution.go
+++ b/internal/forward/attribution.go
@@ -56,8 +56,8 @@
 }
 
 // parseResponse returns what an upstream's response says. A response that may belong to an earlier request
-// on the same connection says nothing about this one. A refusal is an exception if the request may be
-// repeated: taking it for a refusal of this request does no harm, and the caller learns when to come back.
+// on the same connection says nothing about this one. A refusal is handled as one all the same if the request
+// may be repeated, so that it is retried as after any refusal, but it is marked as uncertain.
 func (p *Proxy) parseResponse(cl *call, address string, writes *writeTracker, resp *http.Response) ResponseInfo {
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
 	refuses := info.NotRunReason != ""
@@ -74,10 +74,11 @@
 	if refuses {
 		p.unnamed.add(address, p.now())
 	}
-	if first || refuses && cl.Idempotent {
-		return info
-	}
-	if refuses || !p.opt.Protocol.Identified(resp) {
+	switch {
+	case first:
+	case refuses && cl.Idempotent:
+		info.Uncertain = true
+	case refuses, !p.opt.Protocol.Identified(resp):
 		info.NotRunReason, info.InvalidReason = "", ReasonUnattributed
 	}
 	return info
--- a/internal/forward/attribution_test.go
+++ b/internal/forward/attribution_test.go
@@ -78,16 +78,16 @@
 	}
 }
 
-// TestUnnamedRefusalOfASafeRequestIsBelieved guards against a 502 without a promise for a request that
-// could have been repeated anyway.
-func TestUnnamedRefusalOfASafeRequestIsBelieved(t *testing.T) {
+// TestUnnamedRefusalOfASafeRequestIsRetried guards against a 502 for a request that could have been
+// repeated, and against a verdict that nothing proves.
+func TestUnnamedRefusalOfASafeRequestIsRetried(t *testing.T) {
 	f := newFakeUpstream(t, responds)
 	f.always = shedsUnnamed
 	e := newEntry(t, []*fakeUpstream{f})
 	e.send(t, http.MethodGet, "/x", "")
 	got := e.send(t, http.MethodGet, "/x", "")
-	if got.status != http.StatusServiceUnavailable || got.verdict(t) != verdict.NotRun {
-		t.Errorf("status %d, verdict %v", got.status, got.verdict(t))
+	if got.status != http.StatusServiceUnavailable || got.verdict(t) != verdict.MayHaveRun || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, verdict %v, %v", got.status, got.verdict(t), got.header)
 	}
 }
 
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -80,6 +80,9 @@
 type ResponseInfo struct {
 	// NotRunReason is the reason why the upstream did not run the request; empty if it ran it.
 	NotRunReason string
+	// Uncertain is set by the Proxy if the response may refuse an earlier request on the same connection
+	// instead, so that this one may have run in spite of NotRunReason.
+	Uncertain bool
 	// Identified is set if the response names the request by its ID.
 	Identified bool
 	// InvalidReason is the reason why the response must not be passed on; empty if it is valid.
