forward: what real peers say of handed-over requests is tested with events

An isolated entry hands a request that may run only once over to a whole peer. While the peer's upstream has it, the peer stops, expires its requests, is suspended past their deadlines, gets a new configuration, loses its retry budget, is isolated in turn (17 events with the killed connections); the upstream's first answer is one of 6, later ones one of 3: 306 cases.

--- a/internal/forward/attemptevents_test.go
+++ b/internal/forward/attemptevents_test.go
@@ -49,6 +49,7 @@
 type eventFixture struct {
 	*entry
 	t        *testing.T
+	callers  *httptest.Server
 	in       model.RoutedInput
 	revoked  atomic.Bool
 	outcomes chan Outcome
@@ -90,7 +91,7 @@
 	}
 	srv := httptest.NewServer(proxy)
 	t.Cleanup(srv.Close)
-	f.entry = &entry{proxy, srv.URL}
+	f.entry, f.callers = &entry{proxy, srv.URL}, srv
 	f.configure(1, idempotent)
 	return f
 }
@@ -211,3 +212,31 @@
 		t.Errorf("it ran %d times", ran)
 	}
 }
+
+// TestHandedOverVerdictsAreTrue guards against promises of an entry that rest on what a real peer says to
+// which an event happens while its upstream has the request.
+func TestHandedOverVerdictsAreTrue(t *testing.T) {
+	events := eventCases()
+	events["killed"] = eventCase{happen: func(f *eventFixture) { go f.callers.CloseClientConnections() }}
+	events["killed, and isolated before"] = eventCase{happen: func(f *eventFixture) {
+		isolate(f.t, f.entry)
+		go f.callers.CloseClientConnections()
+	}}
+	for name, event := range events {
+		for _, first := range []string{ReasonShed, ReasonReplaced, "breaks", "truncates", "fails", "runs"} {
+			for _, second := range []string{ReasonShed, "breaks", "runs"} {
+				t.Run(fmt.Sprintf("%s, %s, %s", first, name, second), func(t *testing.T) {
+					f := newEventFixture(t, false, event, first, second, ReasonShed)
+					e, _ := newIsolatedEntry(t, peerOf("n0", f.url))
+					a := e.send(t, http.MethodPost, "/x", "body", header.RequestID, eventID, header.Repeat, "unsafe")
+					<-f.outcomes
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					if a.isPromise(t) && f.ran > 0 || f.ran > 1 {
+						t.Errorf("status %d, %s, but it ran %d times", a.status, a.body, f.ran)
+					}
+				})
+			}
+		}
+	}
+}
