forward: a node that stops begins no request that it cannot finish

Callers saw requests that they had sent up to 3 s after the SIGTERM of a node answered 504 at the end of its grace, while the upstream was at work on them, among them requests that may not be repeated.

Cause: a stopping node took requests for half of its grace, at most 3 s, and passed them on however long they take. What was left 0.5 s before the kill was ended by ExpireRequests.

Evidence (virtual time, grace 6 s, a request each 100 ms from the SIGTERM on): of those passed on, 6 of work of 3.2 s were cut, sent 2.4 to 2.9 s after the SIGTERM; 25 of work of 5 s; 30 of work of 7 s. With two slots and work of 2 s, 4 were cut that had waited at the upstream. An upload that was complete 4.5 s after the SIGTERM was cut too. A further attempt, a handover to a stopping peer and one by a stopping entry were begun, a request was written on a connection that came up after the stop had begun, and waiting requests waited on.

Why it works: StopIn tells the Proxy when its requests are ended. The decision is made before an upstream is picked, when it is picked, and before the first byte is written; so it holds for each attempt, second send and handover. The waits end as the stop begins and are decided anew. A failure of an upstream that would be replaced by another attempt is delivered if there is no time for one. What nothing is known of is begun as before, and so is a request whose own deadline comes before the end.

Conclusion: a promise instead of an unknown outcome, as far as the node knows how long work takes. An upstream that turns slow in the stop itself shows that only after a while.

--- /dev/null
+++ b/internal/balance/longest.go
@@ -0,0 +1,55 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// longest returns the longest time that a further run is expected to take; 0 if no run is known. It is the
+// usual estimate of a maximum from n samples: the largest of them and an n-th of it.
+func (w *workTimes) longest() time.Duration {
+	known := w.known()
+	if len(known) == 0 {
+		return 0
+	}
+	most := slices.Max(known)
+	return most + most/time.Duration(len(known))
+}
+
+// longestOf returns the same for runs of which only a mean is known.
+func longestOf(mean time.Duration) time.Duration { return 2 * mean }
+
+// LongestAnswer returns the longest time that the answer to a choice is expected to take from sending the
+// request; 0 if nothing is known. It allows for the spread of the work of the class, for a full run of each
+// request that waits in front at the upstream, and for an upstream that is slower now than its last answers.
+func (b *Balancer) LongestAnswer(now time.Time, c Choice) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := c.state
+	t := b.classStats(c.class)
+	work := cmp.Or(t.workTimes(c.Warm).longest(), t.workTimes(!c.Warm).longest(), longestOf(u.latency))
+	work = time.Duration(max(1, u.currentSlowdown(now)) * float64(work))
+	if u.inFlight > 1 {
+		// Requests in flight have had no answer for this time.
+		work = max(work, now.Sub(u.lastAnswer))
+	}
+	wait := c.wait
+	if mean := b.meanServiceTime; mean > 0 {
+		wait = (wait + mean - 1) / mean * mean
+	}
+	return b.roundTrip[c.Region] + wait + work
+}
+
+// LongestWork returns the longest time that a request of a class is expected to take at the upstreams
+// that suit it best, without waiting; 0 if nothing is known.
+func (b *Balancer) LongestWork(class string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.classes[class]
+	if t == nil {
+		return 0
+	}
+	warm, unknown := t.warmWork.longest(), t.unknownWorkTimes.longest()
+	return min(cmp.Or(warm, unknown), cmp.Or(unknown, warm))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -217,13 +217,16 @@
 // Stop performs a planned stop. It reports to the agent that the entry is leaving, so
 // that look-ups no longer return the entry. For the time Linger it still accepts
 // requests, from callers with older answers, but none that stands behind an unanswered one on its
-// connection; then it rejects new requests as not run, and shuts the server down once the requests in
-// flight have ended. Those that are left expireMargin before the end of Timeout are ended. It returns
-// the error of the shutdown, for example that answers were still being sent after Timeout.
+// connection and none whose answer is not expected in time; then it rejects new requests as not run, and
+// shuts the server down once the requests in flight have ended. Those that are left expireMargin before
+// the end of Timeout are ended. It returns the error of the shutdown, for example that answers were still
+// being sent after Timeout.
 func (e *Entry) Stop(ctx context.Context, srv Shutdowner, opt StopOptions) error {
 	klog.InfoS("stopping", "linger", opt.Linger)
 	e.leaving.Store(true)
 	srv.BeginDrain()
+	untilExpiry := max(opt.Timeout/2, opt.Timeout-expireMargin)
+	e.Proxy.StopIn(opt.Linger + untilExpiry)
 	if err := e.report(ctx, opt.Agent, true); err != nil {
 		klog.ErrorS(err, "failed to report the stop to the agent")
 	}
@@ -232,9 +235,10 @@
 	case <-ctx.Done():
 	}
 	e.Proxy.Stop()
+	e.Proxy.StopIn(untilExpiry)
 	ctx, cancel := context.WithTimeout(ctx, opt.Timeout)
 	defer cancel()
-	expire := time.AfterFunc(max(opt.Timeout/2, opt.Timeout-expireMargin), e.Proxy.ExpireRequests)
+	expire := time.AfterFunc(untilExpiry, e.Proxy.ExpireRequests)
 	defer expire.Stop()
 	err := srv.Shutdown(ctx)
 	klog.InfoS("stopped", "in_flight", e.Proxy.InFlight(), "err", err)
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -16,9 +16,25 @@
 // of another entry has freed.
 const recheckInterval = 10 * time.Millisecond
 
-// acquire admits the call and takes an upstream's slot, waiting in the queue if necessary. If
-// mustWait is set, it always waits in the queue until a slot may have become free.
+// acquire is admit for an entry that may be stopping: it refuses the call if the entry would end before it.
 func (p *Proxy) acquire(ctx context.Context, cl *call, state *serviceState, regions []string, mustWait bool) (balance.Choice, *verdict.Error) {
+	if p.tooLate(cl, state) {
+		return balance.Choice{}, leavingError()
+	}
+	choice, err := p.admit(ctx, cl, state, regions, mustWait)
+	switch {
+	case err == nil && p.tooLateAt(cl, state.balancer, choice):
+		p.release(state, choice, balance.DoneInfo{Result: balance.Abandoned})
+		return balance.Choice{}, leavingError()
+	case err != nil && err.Verdict == verdict.NotRun && p.tooLate(cl, state):
+		return balance.Choice{}, leavingError()
+	}
+	return choice, err
+}
+
+// admit admits the call and takes an upstream's slot, waiting in the queue if necessary. If
+// mustWait is set, it always waits in the queue until a slot may have become free.
+func (p *Proxy) admit(ctx context.Context, cl *call, state *serviceState, regions []string, mustWait bool) (balance.Choice, *verdict.Error) {
 	svc := cl.service
 	now := p.now()
 	d := admit.Decide(admit.Input{
@@ -58,7 +74,7 @@
 			return balance.Choice{}, verdict.New(verdict.NotRun, reasonNoUpstream, err).WithRetryAfter(unavailableRetryAfter)
 		}
 	}
-	return p.waitForSlot(ctx, state, req, svc.Queue, d.WaitUntil, mustWait)
+	return p.waitForSlot(ctx, cl, state, req, svc.Queue, d.WaitUntil, mustWait)
 }
 
 // minLatency returns the shortest time that a response is expected to take, which is half the
@@ -81,7 +97,7 @@
 	var backoff *balance.BackoffError
 	switch {
 	case err == nil:
-		return p.waitForUpstreamLimit(ctx, state, choice)
+		return p.waitForUpstreamLimit(ctx, cl, state, choice)
 	case errors.As(err, &backoff):
 		return balance.Choice{}, p.backoffError(backoff)
 	case errors.As(err, &limit):
@@ -94,9 +110,9 @@
 
 // waitForUpstreamLimit waits until a request may be sent to the upstream that was picked for
 // it. If ctx ends first, it gives the upstream's slot back.
-func (p *Proxy) waitForUpstreamLimit(ctx context.Context, state *serviceState, choice balance.Choice) (balance.Choice, *verdict.Error) {
+func (p *Proxy) waitForUpstreamLimit(ctx context.Context, cl *call, state *serviceState, choice balance.Choice) (balance.Choice, *verdict.Error) {
 	wait := choice.SendAt.Sub(p.now())
-	if wait <= 0 {
+	if wait <= 0 || p.tooLateAt(cl, state.balancer, choice) {
 		return choice, nil
 	}
 	timer := time.NewTimer(wait)
@@ -169,7 +185,7 @@
 
 // waitForSlot waits in the queue, which takes at most queueLimit requests, until a slot is
 // free, the time until is reached or ctx ends.
-func (p *Proxy) waitForSlot(ctx context.Context, state *serviceState, req balance.Request, queueLimit int, until time.Time, mustWait bool) (balance.Choice, *verdict.Error) {
+func (p *Proxy) waitForSlot(ctx context.Context, cl *call, state *serviceState, req balance.Request, queueLimit int, until time.Time, mustWait bool) (balance.Choice, *verdict.Error) {
 	waiter, ok := state.queue.Enqueue(queueLimit)
 	if !ok {
 		return balance.Choice{}, verdict.New(verdict.NotRun, string(admit.ReasonQueueFull), nil).WithRetryAfter(state.retryAfter(req.Regions[0]))
@@ -185,6 +201,9 @@
 	for {
 		select {
 		case <-recheck.C:
+			if p.tooLate(cl, state) {
+				return balance.Choice{}, leavingError()
+			}
 			state.queue.Wake()
 		case <-waiter.Ready():
 			choice, err := state.balancer.Pick(p.now(), p.opt.Rand(), req)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -85,7 +85,7 @@
 		defer done()
 	}
 	balancer := p.serviceState(cl.service.Name).balancer
-	writes := &writeTracker{accepts: func() bool { return balancer.Accepts(p.now(), to) }}
+	writes := &writeTracker{accepts: func() bool { return balancer.Accepts(p.now(), to) && !p.tooLateAt(cl, balancer, to) }}
 	sending = p.withCertainConnection(sending, cl, to.Address)
 	resp, verr := p.roundTrip(ctx, sending, writes, r, cl, to.Address, func(h http.Header) {
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -172,6 +172,38 @@
 	return b.err
 }
 
+// readAhead reads from the caller until the body is complete or no more of it can be kept, at most for a
+// time. Reads that take longer are interrupted, and the caller's connection cannot be used again.
+func (b *replayBody) readAhead(w http.ResponseWriter, longest time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.readKept()
+	}()
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return
+	case <-timer.C:
+	}
+	b.interrupted.Store(true)
+	if setReadDeadline(w, pastTime) {
+		<-done
+	}
+}
+
+// readKept reads from the caller as long as what it reads can be kept.
+func (b *replayBody) readKept() {
+	b.mu.Lock()
+	defer b.unlock()
+	buf := make([]byte, 4<<10)
+	for b.err == nil && !b.overflowed && len(b.buffered)+len(buf) <= maxReplayBytes {
+		// b.err keeps the error.
+		_, _ = b.readSource(buf)
+	}
+}
+
 // pastTime is used as a deadline that has already passed.
 var pastTime = time.Unix(1, 0)
 
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -76,7 +76,7 @@
 	p.refundOrganisationLimit(cl)
 	cl.charged = false
 	var tried []string
-	for len(tried) < maxPeers && ctx.Err() == nil {
+	for len(tried) < maxPeers && ctx.Err() == nil && !p.tooLate(cl, state) {
 		peer, ok := p.peers.pick(p.now(), p.peers.known(p.now(), p.opt.Peers), p.snap.Load().Region, cl.allows, tried)
 		if !ok {
 			break
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -137,6 +137,10 @@
 		return balance.Choice{}, false
 	}
 	choice, ok := state.balancer.PickHedge(now, cl.objectRequest(), first, cl.Route.Objective-now.Sub(cl.start))
+	if ok && p.tooLateAt(cl, state.balancer, choice) {
+		p.release(state, choice, balance.DoneInfo{Result: balance.Abandoned})
+		ok = false
+	}
 	switch {
 	case !ok:
 		state.hedges.noReplica.Add(1)
--- a/internal/forward/order.go
+++ b/internal/forward/order.go
@@ -55,9 +55,9 @@
 	r := cl.overloadRequest(outlook.Work)
 	w, result := p.pickOrWait(now, cl, state, r, outlook)
 	if w == nil {
-		return p.finishPick(ctx, state, result)
+		return p.finishPick(ctx, cl, state, result)
 	}
-	timer := time.NewTimer(w.Until().Sub(now))
+	timer := time.NewTimer(p.latestSend(cl, state, w.Until()).Sub(now))
 	defer timer.Stop()
 	select {
 	case result = <-w.Value.result:
@@ -80,7 +80,7 @@
 		})
 	}
 	cl.waited = result.err != nil && result.err.Reason == reasonReconsider
-	return p.finishPick(ctx, state, result)
+	return p.finishPick(ctx, cl, state, result)
 }
 
 // overloadRequest describes the call to the decisions about room.
@@ -219,11 +219,11 @@
 }
 
 // finishPick waits until a picked upstream's limit has room for the request.
-func (p *Proxy) finishPick(ctx context.Context, state *serviceState, r pickResult) (balance.Choice, *verdict.Error) {
+func (p *Proxy) finishPick(ctx context.Context, cl *call, state *serviceState, r pickResult) (balance.Choice, *verdict.Error) {
 	if r.err != nil {
 		return balance.Choice{}, r.err
 	}
-	return p.waitForUpstreamLimit(ctx, state, r.choice)
+	return p.waitForUpstreamLimit(ctx, cl, state, r.choice)
 }
 
 // endWait takes a call out of the queue and returns the error that refusal returns. If the call got an
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -130,6 +130,8 @@
 	snap      atomic.Pointer[model.Snapshot]
 	inFlight  atomic.Int64
 	stopping  atomic.Bool
+	// end is when ExpireRequests will be called; nil until StopIn.
+	end atomic.Pointer[time.Time]
 	// excluded is set while the other entries do not count this one as a member; see SetMember.
 	excluded           atomic.Bool
 	mu                 sync.RWMutex
@@ -447,9 +449,9 @@
 
 // unavailable returns the response of an entry that is stopping or has no snapshot yet.
 func (p *Proxy) unavailable(snap *model.Snapshot) *localReply {
-	reply := &localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, verdict: verdict.NotRun, retryAfter: unavailableRetryAfter}
+	reply := &localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, verdict: verdict.NotRun, retryAfter: elsewhereRetryAfter}
 	if snap == nil {
-		reply.reason = reasonStarting
+		reply.reason, reply.retryAfter = reasonStarting, unavailableRetryAfter
 		return reply
 	}
 	for _, m := range snap.LocalEntries() {
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -42,7 +42,8 @@
 			p.reply(w, r, cl.body, out, reply.withOutcome(last, cl.outcome))
 			return
 		}
-		if p.shouldHandOver(cl) {
+		p.awaitBody(w, cl, state)
+		if p.shouldHandOver(cl) && !p.tooLate(cl, state) {
 			if !p.handOver(ctx, w, r, cl, state, out) {
 				p.reply(w, r, cl.body, out, isolatedReply().withOutcome(last, cl.outcome))
 			}
@@ -52,6 +53,10 @@
 		if err != nil && err.Reason == reasonReconsider {
 			continue
 		}
+		if err != nil && err.Reason == reasonLeaving {
+			p.reply(w, r, cl.body, out, p.unavailable(snap).withOutcome(last, cl.outcome))
+			return
+		}
 		if err != nil {
 			if last == nil || err.Verdict == verdict.MayHaveRun {
 				last = err
@@ -77,7 +82,7 @@
 			continue
 		}
 		out.Attempts++
-		if err == nil && !retryableResponse(cl, res, out.Attempts) {
+		if err == nil && (!retryableResponse(cl, res, out.Attempts) || p.tooLate(cl, state)) {
 			p.deliver(w, state, cl, choice, res, out)
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,8 +189,8 @@
 
 // Stop performs a planned stop within the time grace. Look-ups no longer return the node,
 // and limited and cold upstreams get no more requests from it. Requests are still
-// accepted for the time linger, or half of grace if that is shorter, and later ones are
-// rejected as not run. Requests that callers have sent behind unanswered ones stay unread: the node may
+// accepted for the time linger, or half of grace if that is shorter, unless their answers are not expected
+// before the end; those and later ones are rejected as not run. Requests that callers have sent behind unanswered ones stay unread: the node may
 // end before it could answer them, and callers may repeat what was not passed on. killMargin before the
 // end of grace the requests that are left are ended and answered. Stop returns when callers has sent
 // all answers, and before the end of grace.
@@ -199,6 +199,7 @@
 	began := n.now()
 	n.stopping.Store(true)
 	callers.BeginDrain()
+	n.Entry.Proxy.StopIn(grace - killMargin)
 	n.updateMember(began)
 	time.Sleep(min(linger, grace/2))
 	n.Entry.Proxy.Stop()
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -107,16 +107,7 @@
 // requests with its address.
 func serveForStop(t *testing.T, transport http.RoundTripper) (*Node, Drainer, string) {
 	t.Helper()
-	self := model.Member{ID: "n0", Region: "r0", Domain: "d0", State: membership.Alive, Entry: "10.0.0.1:80", Agent: "10.0.0.1:7200"}
-	n := New(view.Options{Self: self, Regions: map[string]string{"d0": "r0"}}, forward.Options{Self: self.ID, Domain: self.Domain, MaxInFlight: 10, Now: time.Now, Transport: transport, Protocol: routedProtocol{}})
-	n.Apply(func(v *view.View, _ time.Time) {
-		v.SetConfig(&model.Config{
-			Version: 1, Services: map[string]model.ServiceConfig{"s": {}},
-			Routes: []*model.Route{{Name: "r", Host: "a.example", Prefix: "/", Services: []model.WeightedService{{Service: "s", Weight: 1}}, Attempts: 1, Timeout: time.Minute}},
-		})
-		v.PutUpstream(model.Upstream{ID: "u", Service: "s", Region: "r0", Domain: "d0", Address: "10.0.1.1:80", Slots: 9})
-	})
-	n.MarkSynced()
+	n := newStopNode(transport, routedProtocol{}, 9)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -127,3 +118,21 @@
 	t.Cleanup(func() { srv.Close() })
 	return n, callers, l.Addr().String()
 }
+
+// newStopNode returns a node that sends all requests to one upstream by a transport.
+func newStopNode(transport http.RoundTripper, protocol forward.Protocol, slots int) *Node {
+	self := model.Member{ID: "n0", Region: "r0", Domain: "d0", State: membership.Alive, Entry: "10.0.0.1:80", Agent: "10.0.0.1:7200"}
+	n := New(view.Options{Self: self, Regions: map[string]string{"d0": "r0"}}, forward.Options{
+		Self: self.ID, Domain: self.Domain, MaxInFlight: 100, Now: time.Now, Transport: transport, Protocol: protocol,
+		NewID: func() string { return "own" }, Observe: func(forward.Outcome) {},
+	})
+	n.Apply(func(v *view.View, _ time.Time) {
+		v.SetConfig(&model.Config{
+			Version: 1, Services: map[string]model.ServiceConfig{"s": {}},
+			Routes: []*model.Route{{Name: "r", Host: "a.example", Prefix: "/", Services: []model.WeightedService{{Service: "s", Weight: 1}}, Attempts: 1, Timeout: time.Minute}},
+		})
+		v.PutUpstream(model.Upstream{ID: "u", Service: "s", Region: "r0", Domain: "d0", Address: "10.0.1.1:80", Slots: slots})
+	})
+	n.MarkSynced()
+	return n
+}
