--- a/internal/view/rollouts.go
+++ b/internal/view/rollouts.go
@@ -51,8 +51,15 @@
 	s.order, s.orderSince = &o, now
 }
 
-// RemoveRolloutOrder removes the order for a service.
-func (v *View) RemoveRolloutOrder(service string) { v.versionsOf(service).order = nil }
+// RemoveRolloutOrder removes the order for a service. It reports whether there was one.
+func (v *View) RemoveRolloutOrder(service string) bool {
+	s := v.versions[service]
+	if s == nil || s.order == nil {
+		return false
+	}
+	s.order = nil
+	return true
+}
 
 // PutRolloutProgress sets the stored progress of the rollout of a service. A progress of an earlier
 // revision than the known one is ignored.
@@ -65,7 +72,11 @@
 }
 
 // RemoveRolloutProgress removes the progress of the rollout of a service.
-func (v *View) RemoveRolloutProgress(service string) { v.versionsOf(service).progress = nil }
+func (v *View) RemoveRolloutProgress(service string) {
+	if s := v.versions[service]; s != nil {
+		s.progress = nil
+	}
+}
 
 // ReplaceRollouts applies full lists of the orders and of the progress by service.
 func (v *View) ReplaceRollouts(orders map[string]rollout.Order, progress map[string]rollout.Progress, now time.Time) {
--- a/internal/view/rollouts_test.go
+++ b/internal/view/rollouts_test.go
@@ -67,3 +67,18 @@
 		t.Errorf("order and status removed: withheld %q", ids)
 	}
 }
+
+// TestRemovalsLeaveNoServices removes orders and progress that never were there.
+func TestRemovalsLeaveNoServices(t *testing.T) {
+	v := New(Options{})
+	for i := range 1000 {
+		service := string(rune('a' + i))
+		v.RemoveRolloutProgress(service)
+		if v.RemoveRolloutOrder(service) {
+			t.Errorf("an order for %q was removed", service)
+		}
+	}
+	if len(v.versions) != 0 {
+		t.Errorf("%d services are kept", len(v.versions))
+	}
+}
