forward: a refusal's status follows from its verdict also for safe requests

One gives no answer of the entry's own a status that promises more than its verdict; the other answered a safe request 503 although an upstream may have run it. Joined, the status was 502 and TestUnnamedRefusalOfASafeRequestIsRetried failed.

Change: the first rule holds for all requests: 502, with the Retry-After of a refusal, for a safe request whose refusals name nobody on used connections.

Conclusion: no promise without proof; callers may repeat safe requests after any failure.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -110,10 +110,6 @@
 	if last.Reason == ReasonShed || last.Reason == reasonWithdrawn {
 		reply.retryAfter = p.spreadRetryAfter(state.balancer.UntilAccepted(p.now(), cl.allows))
 	}
-	if last.Reason == ReasonShed && cl.Idempotent {
-		// The caller may repeat the request whatever became of it, and should wait before.
-		reply.status = http.StatusServiceUnavailable
-	}
 	if last.Reason != reasonOverFairShare {
 		reply.retryAfter = max(reply.retryAfter, state.retryAfter(regions[0]))
 	}
