forward: random upstreams refuse without an ID, and late

Change: TestVerdictsMatchExecution plays refusals that name no request, and such a refusal in the place of the next answer, among its random behaviours; checkRequest knows nothing of IDs or connections.

--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -43,13 +43,15 @@
 	closesToEnd
 	// wrongID runs the request and responds with another request's ID.
 	wrongID
+	// shedsUnnamed is sheds without the ID of the request.
+	shedsUnnamed
+	// shedsLate is responds with a refusal that names no request in the place of the next answer.
+	shedsLate
 	// hangs runs the request and does not respond until the client closes the connection.
 	hangs
 	behaviourCount
 	// respondsLate responds after lateAfter. It is not among the random behaviours.
 	respondsLate
-	// shedsUnnamed is sheds without the ID of the request. It is not among the random behaviours.
-	shedsUnnamed
 )
 
 // lateAfter is how long respondsLate takes.
@@ -144,6 +146,7 @@
 func (f *fakeUpstream) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
+	late := false
 	for {
 		if _, err := r.Peek(1); err != nil {
 			return
@@ -166,7 +169,10 @@
 			f.requests = append(f.requests, receivedRequest{id, req.URL.RequestURI(), string(body), req.Header})
 			f.mu.Unlock()
 		}
-		if !f.reply(c, r, b, id) {
+		if late {
+			f.reply(c, r, shedsUnnamed, id)
+		}
+		if late = b == shedsLate; !f.reply(c, r, b, id) {
 			return
 		}
 	}
