balance: the longest wait for a slot is its mean and two standard deviations

Cause: a stopping node counted a full run for each request that waits in front, so that at full upstreams it refused requests that would have been answered in time. Change: the wait for the k-th of several slots, which began their work at independent times.

--- a/internal/balance/longest.go
+++ b/internal/balance/longest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -21,8 +22,8 @@
 func longestOf(mean time.Duration) time.Duration { return 2 * mean }
 
 // LongestAnswer returns the longest time that the answer to a choice is expected to take from sending the
-// request; 0 if nothing is known. It allows for the spread of the work of the class, for a full run of each
-// request that waits in front at the upstream, and for an upstream that is slower now than its last answers.
+// request; 0 if nothing is known. It allows for the spread of the work of the class and of the wait for a slot,
+// and for an upstream that is slower now than its last answers.
 func (b *Balancer) LongestAnswer(now time.Time, c Choice) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -36,11 +37,22 @@
 	}
 	wait := c.wait
 	if mean := b.meanServiceTime; mean > 0 {
-		wait = (wait + mean - 1) / mean * mean
+		wait = longestWait(float64(c.wait)/float64(mean), float64(max(u.Slots, 1)), mean)
 	}
 	return b.roundTrip[c.Region] + wait + work
 }
 
+// longestWait returns the longest wait that is expected for a slot of an upstream with a number of slots, all
+// of them in use, where turns is the number of requests in front for each slot and mean the time for which
+// one holds a slot. The slots began their work at independent times, so that the k-th of them is free after
+// a part of the mean that has a beta distribution. Two standard deviations are added to its mean.
+func longestWait(turns, slots float64, mean time.Duration) time.Duration {
+	whole, part := math.Modf(turns)
+	k, n := part*slots, slots+1
+	share := k/n + 2*math.Sqrt(k*(n-k)/(n+1))/n
+	return time.Duration((whole + min(1, share)) * float64(mean))
+}
+
 // LongestWork returns the longest time that a request of a class is expected to take at the upstreams
 // that suit it best, without waiting; 0 if nothing is known.
 func (b *Balancer) LongestWork(class string) time.Duration {
--- a/internal/balance/longest_test.go
+++ b/internal/balance/longest_test.go
@@ -25,6 +25,26 @@
 	}
 }
 
+func TestLongestWait(t *testing.T) {
+	const mean = time.Second
+	for _, tt := range []struct {
+		turns, slots float64
+		least, most  time.Duration
+	}{
+		{0, 10, 0, 0},
+		{1, 1, mean, mean},
+		{0.5, 2, mean / 2, mean},
+		{0.1, 10, mean / 10, mean / 3},
+		{0.5, 10, mean / 2, mean},
+		{2, 10, 2 * mean, 2 * mean},
+		{1.1, 10, mean + mean/10, mean + mean/3},
+	} {
+		if got := longestWait(tt.turns, tt.slots, mean); got < tt.least || got > tt.most {
+			t.Errorf("%v turns, %v slots: %v, want %v to %v", tt.turns, tt.slots, got, tt.least, tt.most)
+		}
+	}
+}
+
 // TestLongestAnswerAllowsForTheTail checks that the few long runs count, not the mean.
 func TestLongestAnswerAllowsForTheTail(t *testing.T) {
 	s, entries := twoRegionService(2, 8)
