forward: a peer's refusal is kept as evidence

What operators saw: of a promise that rests on the word of a peer, or on a peer that could not be reached, no log line, dump or outcome named the peer's answer; Refusals had no entry.

Cause: only attempts at upstreams were recorded.

Evidence: TestPeersRefusalIsEvidence failed before for both cases (no evidence, no Refusal).

Why it works: sendToPeer records the peer, the connection, the ordinal of the request on it, the status and the reason in the same list as attempts at upstreams.

Conclusion: for one ID, each answer that made its request count as not run is listed.

--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -137,6 +137,7 @@
 	})
 	if err != nil {
 		p.peers.end(peer.ID)
+		p.recordUnsent(cl, peer.ID, err)
 		return nil, nil, err
 	}
 	if resp.Header.Get(verdict.Header) != "" {
@@ -145,6 +146,11 @@
 		if rerr != nil {
 			return nil, nil, verdict.New(verdict.MayHaveRun, reasonBroken, rerr)
 		}
+		if reply.verdict == verdict.NotRun {
+			e := Evidence{Upstream: peer.ID, Status: reply.status, Identified: reply.reason != reasonStarting, Reason: reply.reason}
+			e.Connection, e.Ordinal = writes.connection()
+			cl.addEvidence(e)
+		}
 		return nil, reply, nil
 	}
 	info := p.parseResponse(cl, peer.Entry, writes, resp)
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -433,7 +433,7 @@
 func (p *Proxy) reply(w http.ResponseWriter, r *http.Request, body *replayBody, out *Outcome, reply *localReply) {
 	closeUnlessComplete(w, r, body)
 	if reply.verdict != verdict.NotRun && ImpliesNotRun(reply.status) {
-		// The status of a peer's response.
+		// A peer's response may have a status that contradicts its verdict.
 		reply.status = statusFor(reply.reason, reply.verdict)
 	}
 	if out.HandoverFrom != "" {
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/loomkeel/loomkeel/internal/header"
+	"github.com/loomkeel/loomkeel/internal/model"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
@@ -134,3 +135,26 @@
 		}
 	}
 }
+
+// TestPeersRefusalIsEvidence guards against promises of which no dump tells that a peer gave them.
+func TestPeersRefusalIsEvidence(t *testing.T) {
+	answer := peerAnswer(503, "id-1", verdict.NotRun.String(), verdict.NotRun.String(), reasonNoSlot)
+	unreachable := newUnreachableUpstream(t)
+	for name, c := range map[string]struct{ peer, reason string }{
+		"refuses":        {newScriptedPeer(t, answer), reasonNoSlot},
+		"is unreachable": {unreachable.lis.Addr().String(), reasonUnreachable},
+	} {
+		ended := make(chan Outcome, 1)
+		e := newEntryWith(t, func(o *Options) {
+			o.Self = "n1"
+			o.Peers = func() Peers { return Peers{Usable: []model.Member{peerOf("n2", c.peer)}, InRegion: 2} }
+			o.Observe = func(out Outcome) { ended <- out }
+		}, []*fakeUpstream{unreachable})
+		isolate(t, e)
+		a := e.send(t, "POST", "/x", "b", header.Repeat, "unsafe", header.RequestID, "id-1")
+		out := <-ended
+		if !a.isPromise(t) || len(out.Evidence) != 1 || out.Evidence[0].Upstream != "n2" || out.Evidence[0].Reason != c.reason || len(e.Refusals()) != 1 {
+			t.Errorf("a peer that %s: status %d, evidence %v, refusals %v", name, a.status, out.Evidence, e.Refusals())
+		}
+	}
+}
