forward: a test guards the memory of answers held for slow callers

The limit is 4 MiB.

Found: the bound holds. So nothing is changed but the test.

Not in this bound: the sockets' buffers, which are the kernel's.

--- a/internal/forward/slowreader_test.go
+++ b/internal/forward/slowreader_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,3 +144,69 @@
 		t.Errorf("deadlines %v", w.deadlines)
 	}
 }
+
+// TestHeldAnswersOfSlowCallersShareMemory has callers pipeline requests whose answers of a megabyte, or
+// without end, are held because of the requests behind them, and then not read. What the entry holds must
+// stay within its limit.
+func TestHeldAnswersOfSlowCallersShareMemory(t *testing.T) {
+	const callers, limit, maxHeap = 64, 4 << 20, 48 << 20
+	part := strings.Repeat("x", 16<<10)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+	for name, answer := range map[string]struct {
+		head, part string
+		size       int
+	}{
+		"a megabyte":        {fmt.Sprintf("Content-Length: %d\r\n\r\n", maxHeldResponse), part, maxHeldResponse},
+		"a length, endless": {"Content-Length: 99999999999\r\n\r\n", part, 64 << 20},
+		"no length":         {"\r\n", part, 64 << 20},
+		"chunks":            {"Transfer-Encoding: chunked\r\n\r\n", chunk, 64 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			piece := []byte(answer.part)
+			var sent atomic.Int64
+			s := newScriptedUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s", header.RequestID, req.Header.Get(header.RequestID), answer.head)
+				for n := 0; err == nil && n < answer.size; n += 16 << 10 {
+					_, err = c.Write(piece)
+					sent.Add(int64(len(piece)))
+				}
+			})
+			go func() {
+				for range s.conns {
+				}
+			}()
+			var fakes []*fakeUpstream
+			for range callers {
+				fakes = append(fakes, &fakeUpstream{lis: s.lis})
+			}
+			e := newEntryWith(t, func(o *Options) { o.MaxInFlight = 1000 }, fakes)
+			e.buffers.limit = limit
+			before := heapInUse()
+			var conns []*callerConn
+			for i := range callers {
+				c := e.dial(t)
+				_ = c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+				if _, err := fmt.Fprint(c, get(fmt.Sprint("a", i))+get(fmt.Sprint("b", i))+get(fmt.Sprint("c", i))); err != nil {
+					t.Fatal(err)
+				}
+				conns = append(conns, c)
+			}
+			var most, mostHeap int64
+			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				most, mostHeap = max(most, e.BufferStatus().HeldBytes), max(mostHeap, heapInUse()-before)
+			}
+			t.Logf("%d bytes sent, %d held, heap grown by %d, %d refused", sent.Load(), most, mostHeap, e.BufferStatus().Refused)
+			if most > limit || mostHeap > maxHeap {
+				t.Errorf("%d bytes held, limit %d; heap grown by %d, limit %d", most, limit, mostHeap, maxHeap)
+			}
+			for _, c := range conns {
+				c.Close()
+			}
+			e.waitForRelease(t)
+		})
+	}
+}
