--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/loomkeel/loomkeel/internal/model"
 )
 
 // TestEndlessBytesEndTheConnection makes an upstream send bytes without end in each part of a response
@@ -57,3 +62,77 @@
 		})
 	}
 }
+
+// endlessReader is a body without end that records what was read and whether it was closed.
+type endlessReader struct {
+	read   int
+	closed bool
+}
+
+// Read implements io.Reader.
+func (r *endlessReader) Read(p []byte) (int, error) {
+	r.read += len(p)
+	return copy(p, bytes.Repeat([]byte{'x'}, len(p))), nil
+}
+
+// Close implements io.Closer.
+func (r *endlessReader) Close() error {
+	r.closed = true
+	return nil
+}
+
+// TestEndlessBodiesThatAreNotPassedOn reads bodies without end of responses that the entry uses itself: a
+// peer's own response, and one that is dropped.
+func TestEndlessBodiesThatAreNotPassedOn(t *testing.T) {
+	body := new(endlessReader)
+	resp := unframedResponse(nil)
+	resp.Body, resp.StatusCode = body, http.StatusServiceUnavailable
+	if reply, err := readPeerReply(resp); err == nil || body.read > 2*maxPeerReply || !body.closed {
+		t.Errorf("reply of a peer: %+v, %v, %d bytes read, closed %v", reply, err, body.read, body.closed)
+	}
+	body = new(endlessReader)
+	resp.Body = body
+	if discard(resp); body.read > 16<<10 || !body.closed {
+		t.Errorf("dropped response: %d bytes read, closed %v", body.read, body.closed)
+	}
+}
+
+// TestEndlessProbeAnswersEndTheConnection makes an upstream answer health checks without end, or with a byte
+// now and then. The probe must end within its time.
+func TestEndlessProbeAnswersEndTheConnection(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, tt := range map[string]struct {
+		begin, repeat string
+		pause         time.Duration
+	}{
+		"status line":     {"HTTP/1.1 200 ", strings.Repeat("x", 4096), 0},
+		"fields":          {ok, strings.Repeat("Name: value\r\n", 300), 0},
+		"body":            {ok + "\r\n", strings.Repeat("x", 4096), 0},
+		"chunks":          {ok + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 700), 0},
+		"body, slowly":    {ok + "\r\n", "x", 20 * time.Millisecond},
+		"fields, slowly":  {ok, "Name: value\r\n", 20 * time.Millisecond},
+		"nothing, slowly": {"", "x", 20 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan int, 1)
+			s := newScriptedUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				n := 0
+				defer func() { ended <- n }()
+				if _, err := readRequest(r); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, tt.begin)
+				for err == nil && n < 64<<20 {
+					_, err = io.WriteString(c, tt.repeat)
+					n += len(tt.repeat)
+					time.Sleep(tt.pause)
+				}
+			})
+			e := newEntry(t, []*fakeUpstream{{lis: s.lis}})
+			e.probe(t.Context(), probeTarget{model.Upstream{ID: "u0", Service: "orders", Domain: "a", Address: s.lis.Addr().String()}, "/", http.Header{}})
+			if n := <-ended; n >= 64<<20 {
+				t.Errorf("%d bytes read", n)
+			}
+		})
+	}
+}
