pipeline: memory of unfinished heads of requests is bounded

What callers would see: a few hundred connections that send a long head and do not end it fill a node with 284 MB within the 10 s that a head may take, and all requests in it end. A target can't do that; whoever reaches the entry can.

Cause: the bound of 64 KiB is one of bytes, of one head. net/http parses fields as they come, and short ones take about fifteen times their bytes; up to 16,384 connections may be open.

Evidence: 100 callers with 64 KiB of short fields each, before: 993,352 bytes of heap each.

The fix: what net/http reads of a head beyond 8 KiB (its text, and 128 bytes a line) is counted before the next read, for all connections together up to 16 MiB; beyond that the read fails, and net/http answers 400 and closes. Heads of ordinary size take no part. The count has a lock of its own: without it the race detector saw net/http close a connection (state closed) during a read, in TestPipelinedRequests; with it pipeline, process and the pipelined tests of forward pass under the race detector.

Open: look-ups, readiness and debugging are served without it, and a complete long head is not counted while its request is served.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -58,6 +58,8 @@
 	takenOver  atomic.Int64
 	served     atomic.Int64
 	refused    atomic.Int64
+	// heads is the memory of the long heads that are being read.
+	heads atomic.Int64
 }
 
 // Status is the state of a Server, for metrics.
@@ -72,6 +74,8 @@
 	// wait for their turn.
 	Open         int64 `json:"open"`
 	WaitingBytes int64 `json:"answer_bytes_waiting"`
+	// HeadBytes is the memory of the long heads of requests that are being read.
+	HeadBytes int64 `json:"head_bytes"`
 }
 
 // Install makes srv serve pipelined requests side by side. It changes the handler and the hooks of
@@ -93,6 +97,9 @@
 		if st, ok := c.(stream); ok && state == http.StateIdle {
 			st.answered()
 		}
+		if cn, ok := c.(*conn); ok {
+			cn.stateChanged(state)
+		}
 		if connState != nil {
 			connState(c, state)
 		}
@@ -102,7 +109,7 @@
 
 // Status returns the state of the Server.
 func (s *Server) Status() Status {
-	return Status{s.takenOver.Load(), s.served.Load(), s.refused.Load(), s.open.Load(), s.waiting.Load()}
+	return Status{s.takenOver.Load(), s.served.Load(), s.refused.Load(), s.open.Load(), s.waiting.Load(), s.heads.Load()}
 }
 
 // BeginDrain ends the serving side by side: from now on no request is begun behind one that is not
--- a/test/ablate/table.go
+++ b/test/ablate/table.go
@@ -281,6 +281,8 @@
 		"b.limit > 0 && held > b.limit", "false && held > b.limit", pkgForward, "ShareMemory", nil},
 	{"memory for long response headers is shared", "internal/forward/headerreader.go",
 		"if !h.reserve() {", "if false {", pkgForward, "HeadersShareMemory", nil},
+	{"memory for long heads of requests is shared", "internal/pipeline/headmemory.go",
+		"if h.total.Add(missing) > maxHeadMemory {", "if h.total.Add(missing) < 0 {", "./internal/process", "HeadersShareMemory", nil},
 	{"nodes without data follow a reader", "platform/reader.go",
 		"if !l.complete && f.findReader(ctx) {", "if false && f.findReader(ctx) {", pkgPlatform, "FleetStarts", nil},
 	{"a node without a reader lists the store", "platform/bootstrap.go",
