--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -87,7 +87,7 @@
 	body := new(endlessReader)
 	resp := unframedResponse(nil)
 	resp.Body, resp.StatusCode = body, http.StatusServiceUnavailable
-	if reply, err := readPeerReply(resp); err == nil || body.read > 2*maxPeerReply || !body.closed {
+	if reply, err := readPeerReply(resp, "id"); err == nil || body.read > 2*maxPeerReply || !body.closed {
 		t.Errorf("reply of a peer: %+v, %v, %d bytes read, closed %v", reply, err, body.read, body.closed)
 	}
 	body = new(endlessReader)
--- a/internal/forward/waitrefusal_test.go
+++ b/internal/forward/waitrefusal_test.go
@@ -40,7 +40,7 @@
 				for i := range waiting {
 					id := fmt.Sprint("waits", i)
 					began := slices.Contains(f.began(), id)
-					if status := f.status(id); impliesNotRun(status) {
+					if status := f.status(id); ImpliesNotRun(status) {
 						refused++
 						if began {
 							t.Errorf("%s ran, but was answered %d", id, status)
@@ -96,7 +96,7 @@
 				state.ordered.mu.Unlock()
 				f.finishAll()
 				leave()
-				if slices.Contains(f.began(), "waits") && impliesNotRun(f.status("waits")) {
+				if slices.Contains(f.began(), "waits") && ImpliesNotRun(f.status("waits")) {
 					t.Errorf("it ran, but was answered %d", f.status("waits"))
 				}
 				if n := f.proxy.Dump()["orders"].Upstreams[0].InFlight; n != 0 {
