forward: names that say what a function does with unnamed answers

withCertainConnection is withNewConnectionIfUnnamed, parseResponse of the Proxy, which differed from that of the Protocol by a letter, is attribute, and errUnasked is errEarlyData; behaviourCount of the tests was used nowhere. No behaviour changes; go test ./internal/forward passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -86,7 +86,7 @@
 	}
 	balancer := p.serviceState(cl.service.Name).balancer
 	writes := &writeTracker{accepts: func() bool { return balancer.Accepts(p.now(), to) && !p.tooLateAt(cl, balancer, to) }}
-	sending = p.withCertainConnection(sending, cl, to.Address)
+	sending = p.withNewConnectionIfUnnamed(sending, cl, to.Address)
 	resp, verr := p.roundTrip(ctx, sending, writes, r, cl, to.Address, func(h http.Header) {
 		p.opt.Protocol.SetRequestHeaders(h, &cl.RequestInfo, &to.Upstream, cl.deadline.Sub(p.now()))
 	})
@@ -96,7 +96,7 @@
 		p.recordUnsent(cl, to.ID, verr)
 		return nil, verr
 	}
-	info := p.parseResponse(cl, to.Address, writes, resp)
+	info := p.attribute(cl, to.Address, writes, resp)
 	observed := p.observe(balancer, cl, to, info.Announcement)
 	if info.NotRunReason != "" {
 		p.recordRefusing(cl, to.ID, writes, resp, info)
--- a/internal/forward/attribution.go
+++ b/internal/forward/attribution.go
@@ -45,20 +45,20 @@
 	return now.Before(u.until[address])
 }
 
-// withCertainConnection returns the context for an attempt. An upstream that refuses requests without
+// withNewConnectionIfUnnamed returns the context for an attempt. An upstream that refuses requests without
 // naming them gets one that may run only once on a new connection: there a refusal can belong to no other
 // request.
-func (p *Proxy) withCertainConnection(ctx context.Context, cl *call, address string) context.Context {
+func (p *Proxy) withNewConnectionIfUnnamed(ctx context.Context, cl *call, address string) context.Context {
 	if cl.Idempotent || !p.unnamed.has(address, p.now()) {
 		return ctx
 	}
 	return withNewConnection(ctx)
 }
 
-// parseResponse returns what an upstream's response says. A response that may belong to an earlier request
+// attribute returns what an upstream's response says. A response that may belong to an earlier request
 // on the same connection says nothing about this one. A refusal is handled as one all the same if the request
 // may be repeated, so that it is retried as after any refusal, but it is marked as uncertain.
-func (p *Proxy) parseResponse(cl *call, address string, writes *writeTracker, resp *http.Response) ResponseInfo {
+func (p *Proxy) attribute(cl *call, address string, writes *writeTracker, resp *http.Response) ResponseInfo {
 	info := p.opt.Protocol.ParseResponse(resp, &cl.RequestInfo, cl.service)
 	refuses := info.NotRunReason != ""
 	if info.InvalidReason == ReasonMismatch || info.Identified && !refuses {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -32,8 +32,8 @@
 
 var (
 	errStaleResponses = errors.New("forward: too many answers to earlier requests")
-	// errUnasked means that the upstream sent data before it got the first request of a connection.
-	errUnasked = errors.New("forward: data from the upstream before the request")
+	// errEarlyData means that the upstream sent data before it got the first request of a connection.
+	errEarlyData = errors.New("forward: data from the upstream before the request")
 )
 
 // upstreamConn is a connection to an upstream.
@@ -98,7 +98,7 @@
 	first := c.requests == 0
 	// With TLS, the end of the handshake may still be unread.
 	if first && c.pool.opt.TLS == nil && !c.usable() {
-		return nil, errUnasked
+		return nil, errEarlyData
 	}
 	stop := context.AfterFunc(req.Context(), c.close)
 	c.requests++
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -49,7 +49,6 @@
 	shedsLate
 	// hangs runs the request and does not respond until the client closes the connection.
 	hangs
-	behaviourCount
 	// respondsLate responds after lateAfter. It is not among the random behaviours.
 	respondsLate
 )
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -153,7 +153,7 @@
 		}
 		return nil, reply, nil
 	}
-	info := p.parseResponse(cl, peer.Entry, writes, resp)
+	info := p.attribute(cl, peer.Entry, writes, resp)
 	// A peer gives a refusal of an upstream as its own.
 	if reason := cmp.Or(info.InvalidReason, info.NotRunReason); reason != "" {
 		discard(resp)
