--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -429,33 +429,3 @@
 	}
 	return p.opt.MaxBody
 }
-
-func (p *Proxy) reply(w http.ResponseWriter, r *http.Request, body *replayBody, out *Outcome, reply *localReply) {
-	closeUnlessComplete(w, r, body)
-	if reply.verdict != verdict.NotRun && ImpliesNotRun(reply.status) {
-		// A peer's response may have a status that contradicts its verdict.
-		reply.status = statusFor(reply.reason, reply.verdict)
-	}
-	if out.HandoverFrom != "" {
-		// Tells the other entry that no upstream has responded.
-		w.Header().Set(verdict.Header, reply.verdict.String())
-	}
-	out.Status, out.Verdict, out.Reason, out.Detail = reply.status, reply.verdict, reply.reason, reply.detail
-	reply.write(w, p.opt.Protocol, out.ID)
-}
-
-// unavailableRetryAfter is the Retry-After time where no better estimate exists.
-const unavailableRetryAfter = time.Second
-
-// unavailable returns the response of an entry that is stopping or has no snapshot yet.
-func (p *Proxy) unavailable(snap *model.Snapshot) *localReply {
-	reply := &localReply{status: http.StatusServiceUnavailable, reason: reasonLeaving, verdict: verdict.NotRun, retryAfter: elsewhereRetryAfter}
-	if snap == nil {
-		reply.reason, reply.retryAfter = reasonStarting, unavailableRetryAfter
-		return reply
-	}
-	for _, m := range snap.LocalEntries() {
-		reply.entries = append(reply.entries, m.Entry)
-	}
-	return reply
-}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -75,16 +75,6 @@
 	return out
 }
 
-// Read implements net.Conn for net/http, which makes one call at a time.
-func (c *conn) Read(p []byte) (int, error) {
-	if err := c.heads.reserve(); err != nil {
-		return 0, err
-	}
-	n, err := c.read(p)
-	c.heads.add(p[:n])
-	return n, err
-}
-
 func (c *conn) read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -155,17 +145,6 @@
 	return n
 }
 
-// stateChanged is called with each state that net/http gives the connection. It reads a head from the
-// state new or idle until the state active.
-func (c *conn) stateChanged(state http.ConnState) {
-	switch state {
-	case http.StateIdle:
-		c.heads.begin()
-	case http.StateActive, http.StateHijacked, http.StateClosed:
-		c.heads.end()
-	}
-}
-
 // begin is called before the handler serves a request.
 func (c *conn) begin(r *http.Request) {
 	c.mu.Lock()
--- a/internal/pipeline/headmemory.go
+++ b/internal/pipeline/headmemory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 )
@@ -71,3 +72,24 @@
 		h.lines += bytes.Count(p, []byte{'\n'})
 	}
 }
+
+// Read implements net.Conn for net/http, which makes one call at a time.
+func (c *conn) Read(p []byte) (int, error) {
+	if err := c.heads.reserve(); err != nil {
+		return 0, err
+	}
+	n, err := c.read(p)
+	c.heads.add(p[:n])
+	return n, err
+}
+
+// stateChanged is called with each state that net/http gives the connection. It reads a head from the
+// state new or idle until the state active.
+func (c *conn) stateChanged(state http.ConnState) {
+	switch state {
+	case http.StateIdle:
+		c.heads.begin()
+	case http.StateActive, http.StateHijacked, http.StateClosed:
+		c.heads.end()
+	}
+}
