KNOWN-RED: one test of pipelines, under a name of its own

TestOrder stood in two packages, so that the list would have passed over both; that of pipeline is TestPipelinedAnswersKeepOrder now.

--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// TestOrder checks what callers receive, whatever the pieces in which their requests arrive.
-func TestOrder(t *testing.T) {
+// TestPipelinedAnswersKeepOrder checks what callers receive, whatever the pieces in which their requests arrive.
+func TestPipelinedAnswersKeepOrder(t *testing.T) {
 	chunked := "POST /u HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
 	for _, tt := range []struct{ name, sent, answers string }{
 		{"pages", get("a") + get("b") + get("c"), "200 a, 200 b, 200 c"},
