forward: an answer whose reset the writer took is not whole

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer; the same with a status of 500, with HTTP/1.0, and for answers that are streamed.

Cause: the kernel reports a reset, or a timeout, once for a socket. The upload is written in a goroutine of its own. If its write got the error, the reader found the end of the stream, which is how such an answer ends.

Evidence: TestAnswerThatIsResetBesideAnUploadIsNotWhole holds reads back until a write has failed.

Change: a connection reads io.EOF only if no write on it has failed by a reset or a timeout. A write in progress is ended first, so that its error is known. EPIPE at the first write that fails is no such error: then the stream had ended in order before, or the reader has the error itself.

Why it works: a reset is reported to the reader, which fails, or to a write, which is now seen before the end of the stream is believed.

--- a/internal/forward/writetracker.go
+++ b/internal/forward/writetracker.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -15,8 +19,11 @@
 // errWithdrawn is returned by the first write of a request that its upstream no longer accepts.
 var errWithdrawn = errors.New("forward: upstream no longer accepts requests")
 
+// errBrokenOff means that a connection did not end in order.
+var errBrokenOff = errors.New("forward: connection broke off")
+
 // trackedConn records whether anything was written since the connection was assigned to a
-// request.
+// request. It reads io.EOF only if the upstream has closed the connection in order.
 type trackedConn struct {
 	net.Conn
 	mu      sync.Mutex
@@ -30,6 +37,10 @@
 	// accepts is called before the first write of a request, which is not made if the result is
 	// false; nil means that it is always made.
 	accepts func() bool
+	// writing is held during writes, and guards broken.
+	writing sync.Mutex
+	// broken is the error of a write that failed because the connection has been reset or has timed out.
+	broken error
 }
 
 // Write implements net.Conn.
@@ -37,7 +48,43 @@
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && !closedInOrder(err) && c.broken == nil {
+		c.broken = err
+	}
+	return n, err
+}
+
+// closedInOrder reports whether the error of the first write that fails leaves open whether the connection
+// has broken off. EPIPE means that a reset came behind the end of the stream, or that the reader has
+// got the error of a reset, and os.ErrDeadlineExceeded that endOfStream has ended the write.
+func closedInOrder(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endOfStream()
+	}
+	return n, err
+}
+
+// endOfStream returns io.EOF if the upstream has closed the connection in order. The kernel reports a reset
+// or a timeout only once: if a write got the error, a read finds the end of the stream.
+func (c *trackedConn) endOfStream() error {
+	// A write in progress may have got the error. It is of no use otherwise, since nothing more can be read.
+	// No deadline can be set on a connection that is closed, which ends writes as well.
+	_ = c.SetWriteDeadline(pastTime)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.broken != nil {
+		return fmt.Errorf("%w: %w", errBrokenOff, c.broken)
+	}
+	return io.EOF
 }
 
 // beginWrite returns an error if the request must not be written. Time may have passed since the
