forward: a status line that is none makes no response

What callers saw: an upstream in trouble answered with status 000, 001, 099 or +20, signed. The caller's connection was closed without an answer, since the handler ended in a panic (net/http allows no such status to be written). Statuses 600 and 999, versions 0.9 and 2.0 and control bytes in the reason were passed on as answers, and an unasked 101 was skipped like an interim response.

Cause: http.ReadResponse takes any three digits with or without a sign for a status, any version and any reason, and nothing checked them after it.

Change: each head that is read from an upstream or a peer, also that of an interim response and of one to an earlier request, is checked against RFC 9110 and 9112 before anything else looks at it: major version 1, status 100 to 599, no change of protocol, no control bytes in the reason. Otherwise the attempt may have run, fails with the reason answer-malformed, and its connection is closed. It counts as an answer for reachability and not as a broken idle connection, as such answers did before.

Why it works: no status reaches the writer that it does not allow, and what is no response is never taken for one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -24,6 +24,7 @@
 	reasonUnreachable   = "upstream-unreachable"
 	reasonBroken        = "upstream-broken"
 	reasonUnframed      = "answer-unframed"
+	reasonMalformed     = "answer-malformed"
 	reasonNotRepeatable = "body-not-repeatable"
 	// reasonWithdrawn means that the upstream no longer accepted requests when the request was to be
 	// sent.
@@ -194,6 +195,8 @@
 		return verdict.New(v, reasonWithdrawn, err)
 	case v == verdict.NotRun:
 		return verdict.New(v, reasonUnreachable, err)
+	case errors.Is(err, errMalformed):
+		return verdict.New(v, reasonMalformed, err)
 	}
 	return verdict.New(v, reasonBroken, err)
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -253,12 +253,16 @@
 }
 
 // receive reads the header of the response to req. It discards responses to earlier requests
-// and sets stale if there were any. It reads at most maxStaleResponses headers.
+// and sets stale if there were any. It reads at most maxStaleResponses headers, each of which must
+// have the form of the protocol.
 func (c *upstreamConn) receive(req *http.Request, first bool) (resp *http.Response, stale bool, err error) {
 	for range maxStaleResponses {
 		c.header.begin()
 		resp, err = http.ReadResponse(c.br, req)
 		c.header.end()
+		if err == nil {
+			err = checkHead(resp)
+		}
 		if err != nil {
 			return nil, stale, err
 		}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -129,7 +130,7 @@
 	resp, err := c.roundTrip(req)
 	if err != nil {
 		c.close()
-		if now := p.opt.Now(); !c.idleSince.IsZero() && ctx.Err() == nil && resetPromptly(now.Sub(sent), c.connectTime) {
+		if now := p.opt.Now(); !c.idleSince.IsZero() && ctx.Err() == nil && !errors.Is(err, errMalformed) && resetPromptly(now.Sub(sent), c.connectTime) {
 			p.reuse.recordBreak(sent.Sub(c.idleSince), now)
 		}
 		if ctx.Err() != nil {
--- a/internal/forward/reach.go
+++ b/internal/forward/reach.go
@@ -26,7 +26,7 @@
 // does not either: the upstream may be slow. A long time without any answer starts health checks.
 func (p *Proxy) recordReach(to *model.Upstream, sent time.Time, newConnection bool, err *verdict.Error) {
 	switch {
-	case err == nil:
+	case err == nil || err.Reason == reasonMalformed:
 		p.reach.RecordAnswer(p.now(), reachAttempt(to, sent, newConnection))
 	case err.Reason == reasonUnreachable || err.Reason == reasonBroken:
 		p.reach.RecordFailure(p.now(), reachAttempt(to, sent, newConnection))
--- /dev/null
+++ b/internal/forward/responsehead.go
@@ -0,0 +1,38 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// errMalformed means that an upstream sent what is no response in the protocol.
+var errMalformed = errors.New("forward: malformed response")
+
+// checkHead returns an error unless the head of a response that http.ReadResponse has read has the form of
+// RFC 9110 and 9112.
+func checkHead(resp *http.Response) error { return checkStatusLine(resp) }
+
+// checkStatusLine checks the version, the status code and the reason phrase (RFC 9112, section 4). A change of the
+// protocol is no response either, since requests ask for none.
+func checkStatusLine(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("%w: version %s", errMalformed, resp.Proto)
+	case resp.StatusCode < 100 || resp.StatusCode > 599 || resp.StatusCode == http.StatusSwitchingProtocols:
+		return fmt.Errorf("%w: status code %03d", errMalformed, resp.StatusCode)
+	case hasControl(resp.Status):
+		return fmt.Errorf("%w: reason phrase %q", errMalformed, resp.Status)
+	}
+	return nil
+}
+
+// hasControl reports whether a text has a control character other than a tab.
+func hasControl(text string) bool {
+	for _, c := range []byte(text) {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
