forward: a field name that is none makes no response

What callers saw: an upstream sent a field name with a blank in it, or a blank before the colon. The caller got the answer as if the line were not there. With "Transfer-Encoding : chunked" the caller's body was the raw chunks, or the first bytes of them if a length stood beside it. The same held for interim responses, responses to earlier requests and trailers.

Cause: http.ReadResponse keeps names with blanks under a key that nothing looks up, and net/http leaves them out when it writes. All other names that are no token, and control characters in values, it refuses itself.

Change: the names in each head, and in a trailer, must be tokens (RFC 9110, section 5.6.2). A response without one fails its attempt as one with a malformed status line does; behind chunks that were passed on, the caller's connection is cut.

Why it works: the check asks for what a name is, not for known odd lines, and stands where each head is read, before framing, verdict, ID and signature are used.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -112,7 +112,7 @@
 		stop()
 		return nil, err
 	}
-	b := &responseBody{ReadCloser: resp.Body, conn: c, stop: stop, sent: sent}
+	b := &responseBody{ReadCloser: resp.Body, resp: resp, conn: c, stop: stop, sent: sent}
 	c.recordStatus(req, resp)
 	b.reuse = !stale && c.reusable(req, resp)
 	empty := resp.ContentLength == 0 || resp.Body == http.NoBody
@@ -301,6 +301,7 @@
 // can be reused.
 type responseBody struct {
 	io.ReadCloser
+	resp *http.Response
 	conn *upstreamConn
 	stop func() bool
 	// sent receives the result of sending the request body; nil if the body was sent before the
@@ -310,12 +311,15 @@
 	ended bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. A body with a malformed trailer is not complete.
 func (b *responseBody) Read(p []byte) (int, error) {
 	if b.ended {
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(checkFieldNames(b.resp.Trailer), err)
+	}
 	if err != nil {
 		b.finish(err == io.EOF)
 	}
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // errMalformed means that an upstream sent what is no response in the protocol.
@@ -11,7 +12,12 @@
 
 // checkHead returns an error unless the head of a response that http.ReadResponse has read has the form of
 // RFC 9110 and 9112.
-func checkHead(resp *http.Response) error { return checkStatusLine(resp) }
+func checkHead(resp *http.Response) error {
+	if err := checkStatusLine(resp); err != nil {
+		return err
+	}
+	return checkFieldNames(resp.Header)
+}
 
 // checkStatusLine checks the version, the status code and the reason phrase (RFC 9112, section 4). A change of the
 // protocol is no response either, since requests ask for none.
@@ -27,6 +33,28 @@
 	return nil
 }
 
+// checkFieldNames checks the names of the fields in a header or a trailer. A line with a blank before the
+// colon says something else to other readers, for example where the body ends (RFC 9112, section 5.1).
+func checkFieldNames(fields http.Header) error {
+	for name := range fields {
+		if !isToken(name) {
+			return fmt.Errorf("%w: field name %q", errMalformed, name)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether a text is a token (RFC 9110, section 5.6.2).
+func isToken(text string) bool {
+	for _, c := range []byte(text) {
+		alphanumeric := '0' <= c && c <= '9' || 'A' <= c && c <= 'Z' || 'a' <= c && c <= 'z'
+		if !alphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // hasControl reports whether a text has a control character other than a tab.
 func hasControl(text string) bool {
 	for _, c := range []byte(text) {
--- a/internal/forward/responsehead_test.go
+++ b/internal/forward/responsehead_test.go
@@ -12,7 +12,8 @@
 // of one. The request must fail, and the connection be closed, so that the next request gets another one.
 func TestMalformedResponseEndsItsConnection(t *testing.T) {
 	for name, malformed := range map[string]string{
-		"status": "HTTP/1.1 000 Trouble\r\n" + idHeader + ": b\r\nContent-Length: 0\r\n\r\n",
+		"field name": "HTTP/1.1 200 OK\r\nX Note: a\r\n" + idHeader + ": b\r\nContent-Length: 0\r\n\r\n",
+		"status":     "HTTP/1.1 000 Trouble\r\n" + idHeader + ": b\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			ended := make(chan error, 1)
