forward: contradictory framing makes no response

What callers saw: an upstream sent chunks in HTTP/1.0, which has none. The caller got a 200 whose body was the raw chunks, or the first bytes of them if a length stood beside it. Chunks beside a length were passed on as if the length were not there.

Cause: http.ReadResponse settles both in its own way and removes the fields, so that nothing behind it can tell. Another reader of the same bytes takes another end of the body (RFC 9112, section 6.1: faulty framing; section 6.3: ought to be handled as an error).

Change: the reader of a header keeps its bytes until it is parsed, and a head with a Transfer-Encoding must have HTTP/1.1 and no Content-Length.

Why it works: the fields are looked for in what was received, before anything settles them.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -257,11 +257,11 @@
 // have the form of the protocol.
 func (c *upstreamConn) receive(req *http.Request, first bool) (resp *http.Response, stale bool, err error) {
 	for range maxStaleResponses {
-		c.header.begin()
+		c.header.begin(c.br)
 		resp, err = http.ReadResponse(c.br, req)
-		c.header.end()
+		head := c.header.end(c.br)
 		if err == nil {
-			err = checkHead(resp)
+			err = checkHead(resp, head)
 		}
 		if err != nil {
 			return nil, stale, err
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -11,12 +13,9 @@
 var errMalformed = errors.New("forward: malformed response")
 
 // checkHead returns an error unless the head of a response that http.ReadResponse has read has the form of
-// RFC 9110 and 9112.
-func checkHead(resp *http.Response) error {
-	if err := checkStatusLine(resp); err != nil {
-		return err
-	}
-	return checkFieldNames(resp.Header)
+// RFC 9110 and 9112. head is its bytes.
+func checkHead(resp *http.Response, head []byte) error {
+	return cmp.Or(checkStatusLine(resp), checkFieldNames(resp.Header), checkFraming(resp, head))
 }
 
 // checkStatusLine checks the version, the status code and the reason phrase (RFC 9112, section 4). A change of the
@@ -55,6 +54,32 @@
 	return text != ""
 }
 
+// checkFraming returns an error if there is a transfer coding where none may be: beside a length, or in a
+// version that has no codings. Readers differ in where such a body ends (RFC 9112, section 6.1).
+// http.ReadResponse settles both cases, and removes the fields from the response.
+func checkFraming(resp *http.Response, head []byte) error {
+	if !hasField(head, "Transfer-Encoding") {
+		return nil
+	}
+	if !resp.ProtoAtLeast(1, 1) {
+		return fmt.Errorf("%w: Transfer-Encoding in %s", errMalformed, resp.Proto)
+	}
+	if hasField(head, "Content-Length") {
+		return fmt.Errorf("%w: Transfer-Encoding and Content-Length", errMalformed)
+	}
+	return nil
+}
+
+// hasField reports whether a head, whose field names are valid, has a field with a name.
+func hasField(head []byte, name string) bool {
+	for line := range bytes.Lines(head) {
+		if len(line) > len(name) && line[len(name)] == ':' && strings.EqualFold(string(line[:len(name)]), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasControl reports whether a text has a control character other than a tab.
 func hasControl(text string) bool {
 	for _, c := range []byte(text) {
--- a/internal/forward/responsehead_test.go
+++ b/internal/forward/responsehead_test.go
@@ -13,6 +13,7 @@
 func TestMalformedResponseEndsItsConnection(t *testing.T) {
 	for name, malformed := range map[string]string{
 		"field name": "HTTP/1.1 200 OK\r\nX Note: a\r\n" + idHeader + ": b\r\nContent-Length: 0\r\n\r\n",
+		"framing":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + idHeader + ": b\r\nContent-Length: 0\r\n\r\n0\r\n\r\n",
 		"status":     "HTTP/1.1 000 Trouble\r\n" + idHeader + ": b\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
