forward: a cut answer does not look whole to a caller by HTTP/1.0

What callers saw: an upstream's answer in chunks broke off, or a long one without a length. A caller by HTTP/1.0 got the part as a whole answer.

Cause: that version has no chunks. An answer without a length ends with the caller's connection, and so does one that breaks off.

Change: for such a caller an answer without a length is read to its end before its first byte is sent, up to the 1 MiB that is also held in front of pipelined requests, and gets a length. A longer one, or one for which there is no memory, is answered 502.

Why it works: whatever reaches such a caller now has a length (TestWholeAnswerReachesAnOldCaller). Callers by HTTP/1.1 get what they got before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -203,7 +203,7 @@
 
 // readResponse reads the body of a small response completely if there is memory for it, and that of a
 // larger one if requests behind it on the caller's connection would be lost with a response that breaks
-// off. Other responses are streamed.
+// off, or if the caller could not tell that it broke off. Other responses are streamed.
 func (p *Proxy) readResponse(ctx context.Context, cl *call, resp *http.Response) (*upstreamResponse, *verdict.Error) {
 	res := &upstreamResponse{resp: resp, buffers: &p.buffers}
 	// A chunked response may be sent slowly, and callers want its first part. One that is delimited by
@@ -213,14 +213,23 @@
 			return nil, err
 		}
 	}
-	if !res.buffered && pipeline.BeginStream(cl.writer) {
+	mustHold := cl.needsLength && resp.ContentLength < 0
+	if !res.buffered && (pipeline.BeginStream(cl.writer) || mustHold) {
 		if err := res.readWithin(ctx, maxHeldResponse); err != nil {
 			return nil, err
 		}
 	}
+	if mustHold && !res.buffered {
+		res.resp.Body.Close()
+		res.release()
+		return nil, verdict.New(verdict.MayHaveRun, reasonUnframed, errNoLength)
+	}
 	return res, nil
 }
 
+// errNoLength means that a response is too long to be held, and has no length for a caller that needs one.
+var errNoLength = errors.New("forward: long response without a length for a caller without chunks")
+
 // readWithin reads the body completely if it has at most limit bytes and there is memory for it. While
 // no part of it is sent yet, a response that breaks off can be replaced by an error or another attempt.
 func (res *upstreamResponse) readWithin(ctx context.Context, limit int64) *verdict.Error {
@@ -276,8 +285,12 @@
 	if !cl.body.complete() {
 		h.Set("Connection", "close")
 	}
-	if res.resp.ContentLength >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(res.resp.ContentLength, 10))
+	length := res.resp.ContentLength
+	if length < 0 && res.buffered && cl.needsLength {
+		length = int64(len(res.body))
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	defer limitWrite(w)()
 	w.WriteHeader(res.resp.StatusCode)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -52,6 +52,9 @@
 	body       *replayBody
 	// writer is where the response goes.
 	writer http.ResponseWriter
+	// needsLength is set if the caller's version of HTTP has no chunks, so that a response without a length
+	// would end with the connection, also one that broke off.
+	needsLength bool
 	// tried holds the IDs of upstreams that must not get the request again.
 	tried []string
 	// headKeys are the request's poison keys without the body.
@@ -74,6 +77,7 @@
 	c := &call{
 		RequestInfo: info,
 		writer:      w,
+		needsLength: !r.ProtoAtLeast(1, 1) && r.Method != http.MethodHead,
 		service:     svc,
 		start:       now,
 		attempts:    svc.Attempts,
