forward: a response is judged without the fields that callers do not get

What callers saw: an upstream named its signature in the Connection field. The caller got a 200 without a signature.

Cause: a proxy removes the fields that the Connection field names. They were removed after the response had been judged.

Change: hop-by-hop fields are removed as soon as an upstream or a peer has responded. A Connection field that names one about the content (Content-Encoding and the like) makes no response, since its body would be taken for something else (RFC 9110, section 7.6.1).

Why it works: verdict, ID and signature are now read from the fields that the caller gets. A field that concerns the connection is still removed, and the answer passed on.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -125,7 +125,7 @@
 }
 
 // roundTrip sends the call to an address, with a copy of the caller's headers that setHeaders has
-// changed, and returns the response. writes records what was written. sending is the context of the
+// changed, and returns the response without hop-by-hop headers. writes records what was written. sending is the context of the
 // exchange, derived from ctx; the connection counts as broken if it ends first.
 func (p *Proxy) roundTrip(ctx, sending context.Context, writes *writeTracker, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *verdict.Error) {
 	body, ok := cl.body.attach(ctx)
@@ -140,6 +140,8 @@
 	if err != nil {
 		return nil, sendError(ctx, cl, writes, err)
 	}
+	// What the caller does not get must not count for the response.
+	removeHopHeaders(resp.Header)
 	return resp, nil
 }
 
@@ -280,7 +282,6 @@
 	for name, values := range res.resp.Header {
 		h[name] = values
 	}
-	removeHopHeaders(h)
 	protocol.SetResponseHeaders(h, &cl.RequestInfo)
 	if !cl.body.complete() {
 		h.Set("Connection", "close")
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"iter"
 	"net/http"
 	"strings"
 
@@ -16,16 +17,27 @@
 // removeHopHeaders removes the hop-by-hop headers, including those that the Connection header
 // lists.
 func removeHopHeaders(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
+	for name := range connectionOptions(h) {
+		h.Del(name)
 	}
 	for _, name := range hopByHopHeaders {
 		h.Del(name)
 	}
 }
 
+// connectionOptions returns what the Connection header lists.
+func connectionOptions(h http.Header) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, list := range h["Connection"] {
+			for name := range strings.SplitSeq(list, ",") {
+				if !yield(strings.TrimSpace(name)) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // removeOwnHeaders removes the headers that start with header.Prefix.
 func removeOwnHeaders(h http.Header) {
 	for name := range h {
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -15,7 +15,7 @@
 // checkHead returns an error unless the head of a response that http.ReadResponse has read has the form of
 // RFC 9110 and 9112. head is its bytes.
 func checkHead(resp *http.Response, head []byte) error {
-	return cmp.Or(checkStatusLine(resp), checkFieldNames(resp.Header), checkFraming(resp, head))
+	return cmp.Or(checkStatusLine(resp), checkFieldNames(resp.Header), checkOptions(resp.Header), checkFraming(resp, head))
 }
 
 // checkStatusLine checks the version, the status code and the reason phrase (RFC 9112, section 4). A change of the
@@ -54,6 +54,17 @@
 	return text != ""
 }
 
+// checkOptions returns an error if a connection option names a field that describes the content, which
+// is for all recipients (RFC 9110, section 7.6.1): without it the body would be taken for something else.
+func checkOptions(fields http.Header) error {
+	for name := range connectionOptions(fields) {
+		if strings.HasPrefix(http.CanonicalHeaderKey(name), "Content-") {
+			return fmt.Errorf("%w: connection option %q", errMalformed, name)
+		}
+	}
+	return nil
+}
+
 // checkFraming returns an error if there is a transfer coding where none may be: beside a length, or in a
 // version that has no codings. Readers differ in where such a body ends (RFC 9112, section 6.1).
 // http.ReadResponse settles both cases, and removes the fields from the response.
