forward, platform: names and comments of the field

Cause: names such as TestStatusThatIsNoneIsNoAnswer are not the field's. Change: names of tests, of their files and stand-ins, and comments; no behaviour.

--- a/internal/forward/peeranswer_test.go
+++ b/internal/forward/peerresponse_test.go
@@ -11,10 +11,10 @@
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
-// TestMalformedAnswerOfPeerIsNoAnswer makes a peer answer a request that was handed over to it with what is no
-// answer, in front of one. The caller must get a failure that promises nothing, and the connection must not be
+// TestMalformedPeerResponseIsRejected makes a peer send a malformed response to a request that was handed over to
+// it, in front of a valid one. The caller must get a failure that promises nothing, and the connection must not be
 // used again.
-func TestMalformedAnswerOfPeerIsNoAnswer(t *testing.T) {
+func TestMalformedPeerResponseIsRejected(t *testing.T) {
 	const rest = header.RequestID + ": id-1\r\nContent-Length: 3\r\n\r\nbad"
 	for name, malformed := range map[string]string{
 		"status 000":          "HTTP/1.1 000 Trouble\r\n" + rest,
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -9,17 +9,17 @@
 	"strings"
 )
 
-// errMalformed means that an upstream sent what is no response in the protocol.
+// errMalformed means that an upstream sent an invalid HTTP/1 response.
 var errMalformed = errors.New("forward: malformed response")
 
-// checkHead returns an error unless the head of a response that http.ReadResponse has read has the form of
-// RFC 9110 and 9112. head is its bytes.
+// checkHead checks the head of a response for what RFC 9110 and 9112 rule out and http.ReadResponse accepts. head
+// is the head as it was received. It returns errMalformed with the reason.
 func checkHead(resp *http.Response, head []byte) error {
 	return cmp.Or(checkStatusLine(resp), checkFieldNames(resp.Header), checkOptions(resp.Header), checkFraming(resp, head))
 }
 
-// checkStatusLine checks the version, the status code and the reason phrase (RFC 9112, section 4). A change of the
-// protocol is no response either, since requests ask for none.
+// checkStatusLine checks the version, the status code and the reason phrase (RFC 9112, section 4). Status 101 is
+// invalid too, since no request asks for another protocol.
 func checkStatusLine(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
@@ -32,8 +32,8 @@
 	return nil
 }
 
-// checkFieldNames checks the names of the fields in a header or a trailer. A line with a blank before the
-// colon says something else to other readers, for example where the body ends (RFC 9112, section 5.1).
+// checkFieldNames checks the names of the fields in a header or a trailer. Other recipients would take a name with a
+// blank before the colon for the field itself, such as Transfer-Encoding (RFC 9112, section 5.1).
 func checkFieldNames(fields http.Header) error {
 	for name := range fields {
 		if !isToken(name) {
@@ -54,8 +54,8 @@
 	return text != ""
 }
 
-// checkOptions returns an error if a connection option names a field that describes the content, which
-// is for all recipients (RFC 9110, section 7.6.1): without it the body would be taken for something else.
+// checkOptions checks that no connection option names a field that describes the content, which is meant for all
+// recipients (RFC 9110, section 7.6.1). Callers would misread the body without it.
 func checkOptions(fields http.Header) error {
 	for name := range connectionOptions(fields) {
 		if strings.HasPrefix(http.CanonicalHeaderKey(name), "Content-") {
@@ -65,9 +65,9 @@
 	return nil
 }
 
-// checkFraming returns an error if there is a transfer coding where none may be: beside a length, or in a
-// version that has no codings. Readers differ in where such a body ends (RFC 9112, section 6.1).
-// http.ReadResponse settles both cases, and removes the fields from the response.
+// checkFraming checks that a transfer coding stands neither beside a length nor in a version without codings:
+// recipients differ in where such a body ends (RFC 9112, section 6.1). It uses the received head, since
+// http.ReadResponse removes the fields.
 func checkFraming(resp *http.Response, head []byte) error {
 	if !hasField(head, "Transfer-Encoding") {
 		return nil
--- a/internal/forward/responsehead_test.go
+++ b/internal/forward/responsehead_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// TestMalformedResponseEndsItsConnection answers the second request on a connection with what is no response, in front
-// of one. The request must fail, and the connection be closed, so that the next request gets another one.
+// TestMalformedResponseEndsItsConnection sends a malformed response to the second request on a connection, in front of a
+// valid one. The request must fail, and the connection be closed, so that the next request gets another one.
 func TestMalformedResponseEndsItsConnection(t *testing.T) {
 	for name, malformed := range map[string]string{
 		"field name": "HTTP/1.1 200 OK\r\nX Note: a\r\n" + idHeader + ": b\r\nContent-Length: 0\r\n\r\n",
--- a/internal/forward/tlsend_test.go
+++ b/internal/forward/tlsreset_test.go
@@ -14,15 +14,15 @@
 	"time"
 )
 
-// readAfterWriteConn is a connection of which nothing is read behind the answer until a write has failed.
-type readAfterWriteConn struct {
+// writeErrorFirstConn is a connection of which nothing is read behind the answer until a write has failed.
+type writeErrorFirstConn struct {
 	*net.TCPConn
 	answered, failed chan struct{}
 	fail             func()
 }
 
 // Read implements net.Conn.
-func (c *readAfterWriteConn) Read(p []byte) (int, error) {
+func (c *writeErrorFirstConn) Read(p []byte) (int, error) {
 	select {
 	case <-c.answered:
 		<-c.failed
@@ -32,7 +32,7 @@
 }
 
 // Write implements net.Conn.
-func (c *readAfterWriteConn) Write(p []byte) (int, error) {
+func (c *writeErrorFirstConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
 	if err != nil {
 		c.fail()
@@ -40,9 +40,9 @@
 	return n, err
 }
 
-// TestAnswerThatIsResetUnderTLSIsNotWhole resets the connection of an answer without a length under TLS, while the
+// TestResponseResetUnderTLSIsIncomplete resets the connection of an answer without a length under TLS, while the
 // request is still being written, so that only the writer gets the error.
-func TestAnswerThatIsResetUnderTLSIsNotWhole(t *testing.T) {
+func TestResponseResetUnderTLSIsIncomplete(t *testing.T) {
 	certified := httptest.NewTLSServer(nil)
 	defer certified.Close()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -76,7 +76,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &readAfterWriteConn{c.(*net.TCPConn), answered, failed, sync.OnceFunc(func() { close(failed) })}, nil
+			return &writeErrorFirstConn{c.(*net.TCPConn), answered, failed, sync.OnceFunc(func() { close(failed) })}, nil
 		},
 	})
 	body, w := io.Pipe()
--- a/internal/forward/writetracker.go
+++ b/internal/forward/writetracker.go
@@ -51,16 +51,16 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil && !closedInOrder(err) && c.broken == nil {
+	if err != nil && !inconclusive(err) && c.broken == nil {
 		c.broken = err
 	}
 	return n, err
 }
 
-// closedInOrder reports whether the error of the first write that fails leaves open whether the connection
-// has broken off. EPIPE means that a reset came behind the end of the stream, or that the reader has
-// got the error of a reset, and os.ErrDeadlineExceeded that endOfStream has ended the write.
-func closedInOrder(err error) bool {
+// inconclusive reports whether the error of a write does not show that the connection has broken off. EPIPE at
+// the first write that fails means that a reset came behind the end of the stream, or that the reader got the
+// error of the reset; os.ErrDeadlineExceeded means that endOfStream ended the write.
+func inconclusive(err error) bool {
 	return errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
@@ -73,8 +73,8 @@
 	return n, err
 }
 
-// endOfStream returns io.EOF if the upstream has closed the connection in order. The kernel reports a reset
-// or a timeout only once: if a write got the error, a read finds the end of the stream.
+// endOfStream returns io.EOF if the upstream has closed the connection in order, and an error otherwise. The kernel
+// reports a reset or a timeout only once: after a write got the error, a read finds the end of the stream.
 func (c *trackedConn) endOfStream() error {
 	// A write in progress may have got the error. It is of no use otherwise, since nothing more can be read.
 	// No deadline can be set on a connection that is closed, which ends writes as well.
