forward: random plans have broken and malformed responses

Cause: the plans of TestVerdictsMatchExecution have upstreams that cut bodies and close connections, but none whose heads are invalid or that reset a response without a length; and a request without any response passed.

Change: four behaviours among the random ones, a check that each request gets a response, and a flag for more seeds.

--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -47,6 +47,15 @@
 	shedsUnnamed
 	// shedsLate is responds with a refusal that names no request in the place of the next answer.
 	shedsLate
+	// invalidStatus runs the request and responds with a status code that HTTP does not have.
+	invalidStatus
+	// invalidName runs the request and responds with a blank behind the name of a field, which would mark the
+	// end of the body.
+	invalidName
+	// truncatesHead runs the request and closes the connection in the middle of the head of the response.
+	truncatesHead
+	// resetsBody runs the request and resets the connection in the middle of a response that ends with it.
+	resetsBody
 	// hangs runs the request and does not respond until the client closes the connection.
 	hangs
 	// respondsLate responds after lateAfter. It is not among the random behaviours.
@@ -202,6 +211,19 @@
 	case wrongID:
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: of-another\r\nContent-Length: 7\r\n\r\nanother", header.RequestID)
 		return true
+	case invalidStatus:
+		fmt.Fprintf(c, "HTTP/1.1 000 Trouble\r\n%s: %s\r\nContent-Length: 3\r\n\r\nbad", header.RequestID, id)
+		return true
+	case invalidName:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding : chunked\r\nContent-Length: 13\r\n\r\n3\r\nbad\r\n0\r\n\r\n", header.RequestID, id)
+		return true
+	case truncatesHead:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Le", header.RequestID, id)
+		return false
+	case resetsBody:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nhalf of the", header.RequestID, id)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
 	case hangs:
 		_, _ = r.ReadByte()
 		f.clientClosed <- struct{}{}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,8 @@
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
+var verdictSeeds = flag.Int64("verdict-seeds", 1, "number of seeds of TestVerdictsMatchExecution")
+
 func (a result) verdict(t testing.TB) verdict.Verdict {
 	t.Helper()
 	if a.bodyErr != nil {
@@ -107,10 +110,16 @@
 }
 
 // TestVerdictsMatchExecution sends requests to upstreams with random behaviour. A request with
-// the verdict not-run must not have run, a non-idempotent request must not run twice, and a
-// successful response must be complete and belong to the request.
+// the verdict not-run must not have run, a non-idempotent request must not run twice, each must get a
+// response, and a successful one must be complete and belong to the request.
 func TestVerdictsMatchExecution(t *testing.T) {
-	params := gopter.DefaultTestParametersWithSeed(11)
+	for seed := range *verdictSeeds {
+		testVerdicts(t, 11+seed)
+	}
+}
+
+func testVerdicts(t *testing.T, seed int64) {
+	params := gopter.DefaultTestParametersWithSeed(seed)
 	params.MinSuccessfulTests = 40
 	props := gopter.NewProperties(params)
 	props.Property("verdicts match executions", prop.ForAll(func(plan []int) string {
@@ -154,6 +163,8 @@
 	}
 	v := a.verdict(t)
 	switch {
+	case a.status == 0:
+		return fmt.Sprintf("%s got no response: %v", id, a.bodyErr)
 	case v == verdict.NotRun && runs > 0:
 		return fmt.Sprintf("%s has the verdict not-run, but ran %d times", id, runs)
 	case !safe && runs > 1:
