--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -125,8 +125,8 @@
 }
 
 // roundTrip sends the call to an address, with a copy of the caller's headers that setHeaders has
-// changed, and returns the response without hop-by-hop headers. writes records what was written. sending is the context of the
-// exchange, derived from ctx; the connection counts as broken if it ends first.
+// changed, and returns the response without hop-by-hop headers. writes records what was written. sending
+// is the context of the exchange, derived from ctx; the connection counts as broken if it ends first.
 func (p *Proxy) roundTrip(ctx, sending context.Context, writes *writeTracker, r *http.Request, cl *call, address string, setHeaders func(http.Header)) (*http.Response, *verdict.Error) {
 	body, ok := cl.body.attach(ctx)
 	if !ok {
@@ -140,7 +140,7 @@
 	if err != nil {
 		return nil, sendError(ctx, cl, writes, err)
 	}
-	// What the caller does not get must not count for the response.
+	// Fields that the caller does not get must not be used to judge the response.
 	removeHopHeaders(resp.Header)
 	return resp, nil
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -254,7 +254,7 @@
 
 // receive reads the header of the response to req. It discards responses to earlier requests
 // and sets stale if there were any. It reads at most maxStaleResponses headers, each of which must
-// have the form of the protocol.
+// be valid.
 func (c *upstreamConn) receive(req *http.Request, first bool) (resp *http.Response, stale bool, err error) {
 	for range maxStaleResponses {
 		c.header.begin(c.br)
