forward: an answer whose upload is refused behind its end is not whole

What callers saw: an upstream sent a part of an answer without a length and closed the connection with the upload unread. Where it had read all that had come by then, its kernel ended the stream in order and reset the connection when more arrived. The caller got the part as a whole answer.

The upstream's process may as well have been cut off.

Change: at the end of such an answer, while its request is being written, a write that fails within a round trip and 20 ms (the time that is used for resets of idle connections) shows that the answer broke off, whatever the error. The check has moved from each read to the end of the body, the only place where the end of the stream means something else than an error.

Why it works: an upstream that can still receive does not reset the connection, and one that cannot does so within a round trip of what is sent to it.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -102,7 +102,7 @@
 	}
 	stop := context.AfterFunc(req.Context(), c.close)
 	c.requests++
-	sent, err := c.send(req)
+	sending, err := c.send(req)
 	if err != nil {
 		stop()
 		return nil, err
@@ -112,7 +112,7 @@
 		stop()
 		return nil, err
 	}
-	b := &responseBody{ReadCloser: resp.Body, resp: resp, conn: c, stop: stop, sent: sent}
+	b := &responseBody{ReadCloser: resp.Body, resp: resp, conn: c, stop: stop, upload: sending}
 	c.recordStatus(req, resp)
 	b.reuse = !stale && c.reusable(req, resp)
 	empty := resp.ContentLength == 0 || resp.Body == http.NoBody
@@ -147,9 +147,16 @@
 // hasFailed reports whether the request with an ID was answered with an error status.
 func (c *upstreamConn) hasFailed(id string) bool { return id != "" && slices.Contains(c.failed, id) }
 
-// send writes the request. It returns a channel that receives the result of sending a long
-// body, or nil if the request has been sent completely.
-func (c *upstreamConn) send(req *http.Request) (<-chan error, error) {
+// upload is the sending of a long request body.
+type upload struct {
+	// done is closed at the end, after which err is the result.
+	done chan struct{}
+	err  error
+}
+
+// send writes the request. It returns the sending of a long body, or nil if the request has been sent
+// completely.
+func (c *upstreamConn) send(req *http.Request) (*upload, error) {
 	writeHeader(c.bw, req)
 	if req.Body == nil || req.ContentLength == 0 {
 		return nil, c.bw.Flush()
@@ -160,17 +167,17 @@
 	if err := c.bw.Flush(); err != nil {
 		return nil, err
 	}
-	done := make(chan error, 1)
+	u := &upload{done: make(chan struct{})}
 	go func() {
-		err := c.sendBody(req)
-		if errors.Is(err, errCallerBody) {
+		defer close(u.done)
+		u.err = c.sendBody(req)
+		if errors.Is(u.err, errCallerBody) {
 			// The connection is closed so that the upstream does not take the part that it got
 			// for the whole body. Otherwise the Proxy would wait for a response that never comes.
 			c.close()
 		}
-		done <- err
 	}()
-	return done, nil
+	return u, nil
 }
 
 // errCallerBody means that reading the request body from the caller failed, rather than writing
@@ -304,21 +311,20 @@
 	resp *http.Response
 	conn *upstreamConn
 	stop func() bool
-	// sent receives the result of sending the request body; nil if the body was sent before the
-	// response arrived.
-	sent  <-chan error
-	reuse bool
-	ended bool
+	// upload is the sending of the request body; nil if the body was sent before the response arrived.
+	upload *upload
+	reuse  bool
+	ended  bool
 }
 
-// Read implements io.Reader. A body with a malformed trailer is not complete.
+// Read implements io.Reader. It returns io.EOF only if the body is complete.
 func (b *responseBody) Read(p []byte) (int, error) {
 	if b.ended {
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		err = cmp.Or(checkFieldNames(b.resp.Trailer), err)
+		err = b.endOfBody()
 	}
 	if err != nil {
 		b.finish(err == io.EOF)
@@ -326,6 +332,28 @@
 	return n, err
 }
 
+// endOfBody returns io.EOF if the body ended in order, and an error otherwise.
+func (b *responseBody) endOfBody() error {
+	if err := checkFieldNames(b.resp.Trailer); err != nil {
+		return err
+	}
+	if !closeDelimited(b.resp) || b.upload == nil {
+		return io.EOF
+	}
+	// An upstream that has closed the connection, rather than its own direction, resets it when more of the request
+	// arrives. It may have been cut off in the middle of the response.
+	timer := time.NewTimer(promptReset(b.conn.connectTime))
+	defer timer.Stop()
+	select {
+	case <-b.upload.done:
+		if b.upload.err != nil {
+			return fmt.Errorf("%w: %w", errBrokenOff, b.upload.err)
+		}
+	case <-timer.C:
+	}
+	return b.conn.endOfStream()
+}
+
 // Close implements io.Closer. Closing before the end of the body closes the connection.
 func (b *responseBody) Close() error {
 	b.finish(false)
@@ -349,12 +377,12 @@
 // early response the upstream may still read the rest of the request body, so the connection
 // must not be reused.
 func (b *responseBody) allSent() bool {
-	if b.sent == nil {
+	if b.upload == nil {
 		return true
 	}
 	select {
-	case err := <-b.sent:
-		return err == nil
+	case <-b.upload.done:
+		return b.upload.err == nil
 	default:
 		return false
 	}
--- a/internal/forward/reuse.go
+++ b/internal/forward/reuse.go
@@ -28,8 +28,12 @@
 
 // resetPromptly reports whether a connection broke so soon after the request that the upstream
 // must have lost the state of the connection before.
-func resetPromptly(took, connect time.Duration) bool {
-	return took < time.Duration(promptFactor*float64(connect))+promptSlack
+func resetPromptly(took, connect time.Duration) bool { return took < promptReset(connect) }
+
+// promptReset returns the time within which an upstream resets a connection on which it cannot receive, by the
+// time that it took to open the connection.
+func promptReset(connect time.Duration) time.Duration {
+	return time.Duration(promptFactor*float64(connect)) + promptSlack
 }
 
 // ReuseLimit states that connections idle for longer than MaxConnIdle must not be used for a
--- a/internal/forward/writetracker.go
+++ b/internal/forward/writetracker.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -23,7 +22,7 @@
 var errBrokenOff = errors.New("forward: connection broke off")
 
 // trackedConn records whether anything was written since the connection was assigned to a
-// request. It reads io.EOF only if the upstream has closed the connection in order.
+// request, and whether a write got the error of a reset.
 type trackedConn struct {
 	net.Conn
 	mu      sync.Mutex
@@ -39,7 +38,7 @@
 	accepts func() bool
 	// writing is held during writes, and guards broken.
 	writing sync.Mutex
-	// broken is the error of a write that failed because the connection has been reset or has timed out.
+	// broken is the error of the first write that failed.
 	broken error
 }
 
@@ -51,30 +50,16 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil && !inconclusive(err) && c.broken == nil {
+	// endOfStream ends writes by a deadline.
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && c.broken == nil {
 		c.broken = err
 	}
 	return n, err
 }
 
-// inconclusive reports whether the error of a write does not show that the connection has broken off. EPIPE at
-// the first write that fails means that a reset came behind the end of the stream, or that the reader got the
-// error of the reset; os.ErrDeadlineExceeded means that endOfStream ended the write.
-func inconclusive(err error) bool {
-	return errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
-}
-
-// Read implements net.Conn.
-func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err == io.EOF {
-		err = c.endOfStream()
-	}
-	return n, err
-}
-
-// endOfStream returns io.EOF if the upstream has closed the connection in order, and an error otherwise. The kernel
-// reports a reset or a timeout only once: after a write got the error, a read finds the end of the stream.
+// endOfStream is called when a read has found the end of the stream. It returns io.EOF if the upstream has closed
+// the connection in order, and an error otherwise. The kernel reports a reset or a timeout only once: after a
+// write got the error, a read finds the end of the stream. Later writes fail.
 func (c *trackedConn) endOfStream() error {
 	// A write in progress may have got the error. It is of no use otherwise, since nothing more can be read.
 	// No deadline can be set on a connection that is closed, which ends writes as well.
