make test: name the failed tests at the end

Cause: the output of a failed run is long, as a package that fails shows all its log lines.

Change: make test keeps the output of the tests in bin/test.log and, if they fail, prints the names of the tests, their first lines and the seed of the order once more at the end. It fails as before.

Result: with a failing test put in, the last lines name it and the status is 2; without it the status is 0.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TEST_TIMEOUT ?= 40m
 export GOTOOLCHAIN = local
 
-.PHONY: build run up upgrade test race race-long known-red lint generate overhead slopes measure ablate play
+.PHONY: build run up upgrade test tests race race-long known-red lint generate overhead slopes measure ablate play
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -50,7 +50,13 @@
 
 # Runs every test twice in random order, once with the race detector. That run uses one
 # processor a process: with several, the race detector of Go 1.26 crashes in tests with virtual time.
+# The failed ones are named once more at the end, below the logs of all packages.
 test: lint build known-red
+	@rm -f bin/test.status
+	@{ $(MAKE) --no-print-directory tests 2>&1; echo $$? > bin/test.status; } | tee bin/test.log
+	@test "$$(cat bin/test.status)" = 0 || { echo "failed:"; grep -avE '^[IWE][0-9]{4} ' bin/test.log | grep -E -A5 '^-test.shuffle|^ *--- FAIL|^panic: |DATA RACE' | head -n 40; exit 1; }
+
+tests:
 	$(MAKE) --no-print-directory -j2 race race-long
 	$(GO) test -shuffle=on -count=1 -timeout=$(TEST_TIMEOUT) -skip '$(SKIP)' ./...
 
