forward: tests of waits at an upstream's limit hold when the process is paused

With the process stopped for 60 ms every 100 ms, TestDeadlineEndsWaitForUpstreamLimit failed in 2 of 16 runs, with 120 ms every 200 ms in 3 of 16, and TestDeadlineBeforeBodyIsRead in 2 of 16: the limit has room 95 ms after the first request, and the bound of 50 ms was also that of requests which only prepare the case.

Change: the bound of 50 ms applies to the request that waits alone. What is demanded of a wait stays as it was.

--- a/internal/forward/stalled_test.go
+++ b/internal/forward/stalled_test.go
@@ -190,13 +190,15 @@
 // the next request.
 func TestDeadlineBeforeBodyIsRead(t *testing.T) {
 	for range 10 {
-		e, _ := newLimitedEntry(t, "10.5", 50*time.Millisecond)
+		e, _, route := newLimitedEntry(t, "10.5")
+		route.Timeout = 50 * time.Millisecond
 		c := e.dial(t)
 		first, _ := c.request(t, "POST /photo HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello")
 		if first.Close {
 			continue
 		}
 		time.Sleep(200 * time.Millisecond)
+		route.Timeout = time.Minute
 		next, body := c.request(t, "GET /photo HTTP/1.1\r\nHost: x\r\n\r\n")
 		if next.StatusCode != http.StatusOK {
 			t.Errorf("first status %d, next %d: %s", first.StatusCode, next.StatusCode, body)
