forward: a test of the stop waits for no request that was refused before

Cause: TestStopEndsWaitsInLine never ended in 2 of some 100 runs of the package with pauses of the process: the fifth request waits for a slot for 50 ms at most, and was refused (no-slot) before the test saw it wait.

Change: requests of this test may wait for 10 s, so that only the stop can end the wait in time, and an answer that comes before the stop fails the test with its text.

--- a/internal/forward/stopping_test.go
+++ b/internal/forward/stopping_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/loomkeel/loomkeel/internal/header"
+	"github.com/loomkeel/loomkeel/internal/tree"
 	"github.com/loomkeel/loomkeel/internal/verdict"
 )
 
@@ -71,7 +72,7 @@
 func TestStopEndsWaitsInLine(t *testing.T) {
 	fake := newFakeUpstream(t)
 	fake.always = hangs
-	e := newEntry(t, []*fakeUpstream{fake})
+	e := newEntry(t, []*fakeUpstream{fake}, tree.Edit{Path: "/services/orders", Key: tree.KeyQueueWait, Value: "10s"})
 	const slots = 4
 	answers := make(chan result, slots+1)
 	for range slots + 1 {
@@ -79,7 +80,11 @@
 	}
 	state := e.serviceState("orders")
 	for len(fake.received()) < slots || state.queue.Len() == 0 {
-		time.Sleep(time.Millisecond)
+		select {
+		case a := <-answers:
+			t.Fatalf("answered before the entry stops: status %d: %s, %v", a.status, a.body, a.bodyErr)
+		case <-time.After(time.Millisecond):
+		}
 	}
 	e.StopIn(0)
 	if a := <-answers; a.status != http.StatusServiceUnavailable || a.verdict(t) != verdict.NotRun || !strings.Contains(a.body, reasonLeaving) {
