forward: tests of second sends hold when the process is paused

Cause: with the process stopped for 120 ms or more at a time, TestSecondUpstreamAnswersForOneThatHangs and TestCallerLeavesDuringSecondSend failed in 2 and 4 of some 100 runs of the package: a second answer 100 ms late would miss the objective of 150 ms, so there was no second send (counts NoReplica: 1), as it should be.

Change: the objective in these two is 1.5 s, and the slow runs that the entry has learnt take 2 s, so that the second send comes at the same moment but remains useful. The caller leaves once both upstreams have its request; before, 400 ms after it came.

--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -17,7 +17,7 @@
 
 const (
 	usualWork = 20 * time.Millisecond
-	tailWork  = 200 * time.Millisecond
+	tailWork  = 2 * time.Second
 )
 
 // hedgeFixture is an entry with two upstreams, of which first comes first for the object /x.
@@ -27,7 +27,7 @@
 	ids           map[*fakeUpstream]string
 }
 
-// newHedgeFixture returns an entry that has learnt that one run in five takes ten times as long.
+// newHedgeFixture returns an entry that has learnt that one run in five takes a hundred times as long.
 func newHedgeFixture(t *testing.T, change func(*model.Route)) *hedgeFixture {
 	fakes := []*fakeUpstream{newFakeUpstream(t), newFakeUpstream(t)}
 	route := &model.Route{
@@ -106,8 +106,11 @@
 
 func unchanged(*model.Route) {}
 
+// longObjective leaves a second answer enough time even if the process does not run for a second.
+func longObjective(r *model.Route) { r.Objective = 1500 * time.Millisecond }
+
 func TestSecondUpstreamAnswersForOneThatHangs(t *testing.T) {
-	f := newHedgeFixture(t, unchanged)
+	f := newHedgeFixture(t, longObjective)
 	f.first.next = []behaviour{hangs}
 	got := f.send(t, http.MethodGet, "/x", "", header.RequestID, "q")
 	if got.status != http.StatusOK || got.body != "answer to q" {
@@ -208,10 +211,16 @@
 
 // TestCallerLeavesDuringSecondSend lets both upstreams hang until the caller has left.
 func TestCallerLeavesDuringSecondSend(t *testing.T) {
-	f := newHedgeFixture(t, unchanged)
+	f := newHedgeFixture(t, longObjective)
 	f.first.always, f.second.always = hangs, hangs
-	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
-	defer cancel()
+	ctx, leave := context.WithTimeout(t.Context(), 4*time.Second)
+	defer leave()
+	go func() {
+		for ctx.Err() == nil && (len(f.first.received()) == 0 || len(f.second.received()) == 0) {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
 	req := httptest.NewRequestWithContext(ctx, http.MethodGet, "/x", nil)
 	f.ServeHTTP(httptest.NewRecorder(), req)
 	for _, u := range []*fakeUpstream{f.first, f.second} {
